--- /dev/null
+++ b/cmd/quetzaldock/main.go
@@ -0,0 +1,6 @@
+// Command quetzaldock runs the node beside a backend server and the tools of
+// its operators.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/pkg/config/snapshot.go
@@ -0,0 +1,18 @@
+package config
+
+// A Snapshot is one accepted version of the configuration. It is never
+// changed after Accept returns it, so it may be shared between goroutines.
+type Snapshot struct {
+	Version uint64
+	// Digest is the SHA-256 of the manifest's bytes in lower-case hexadecimal.
+	Digest string
+	// Zones, Services, Hosts and Accounts are keyed by name (hosts by ID).
+	Zones    map[string]*AvailabilityZone
+	Services map[string]*Service
+	Hosts    map[string]*Host
+	Accounts map[string]*ClientAccount
+	// Routes is sorted by prefix, longest first.
+	Routes     []Route
+	Defaults   Values
+	Exceptions []Exception
+}
--- /dev/null
+++ b/pkg/hosts/hosts.go
@@ -0,0 +1,55 @@
+// Package hosts holds the platform's list of live and leaving hosts and the
+// placement that every node derives from it.
+//
+// The list lags behind the truth and two nodes may hold different lists, so
+// a placement is only an optimisation: no promise of the system rests on it.
+package hosts
+
+// State is a host's state in the platform's list.
+type State string
+
+// The states of a listed host. A host that is gone is not listed.
+const (
+	Live    State = "Live"
+	Leaving State = "Leaving"
+)
+
+// A Host is one entry of the platform's list.
+type Host struct {
+	// ID is unique and never given to another host.
+	ID      string
+	Service string
+	Zone    string
+	// CallAddress is the IP address and port of the listener for calls
+	// between nodes.
+	CallAddress string
+	// ControlAddress is the IP address and port of the control listener.
+	ControlAddress string
+	State          State
+}
+
+// A List is one revision of the platform's host list.
+type List struct {
+	// Revision rises with every change of the list.
+	Revision uint64
+	Hosts    []Host
+}
+
+// IDs returns the IDs of all listed hosts.
+func (l *List) IDs() []string {
+	ids := make([]string, 0, len(l.Hosts))
+	for i := range l.Hosts {
+		ids = append(ids, l.Hosts[i].ID)
+	}
+	return ids
+}
+
+// Find returns the listed host with the given ID.
+func (l *List) Find(id string) (Host, bool) {
+	for _, h := range l.Hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
