Accept configurations and resolve routes, keys and values

Cause: nodes need one pure verdict on a published configuration and fast lookups in it.

Route refuses paths that a backend server could read as another path, because such a path could pass an open route and reach what a closed one protects. Values that belong to a host cannot be set per account, and Rate and Burst only per account, because they count fleet-wide.

--- /dev/null
+++ b/pkg/config/accept.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// A draft is a configuration while it is being judged.
+type draft struct {
+	faults *Faults
+	parts  []draftPart
+	// whole states that every part was decoded. Only then are references
+	// between parts judged: they would all fail for a part that is missing.
+	whole bool
+	// defaultsIn is the name of the part that has the defaults.
+	defaultsIn string
+	snapshot   *Snapshot
+}
+
+type draftPart struct {
+	name string
+	doc  Document
+}
+
+// Accept judges one version: the bytes of its manifest and of its parts by
+// digest. It returns the whole version or a *Faults with every fault found,
+// and depends on nothing but its arguments.
+func Accept(manifest []byte, parts map[string][]byte) (*Snapshot, error) {
+	d := &draft{faults: &Faults{}, whole: true, snapshot: &Snapshot{Digest: DigestOf(manifest)}}
+	m := parseManifest(d.faults, manifest)
+	if m == nil {
+		return nil, d.faults
+	}
+	d.snapshot.Version = m.Version
+	d.decode(m, parts)
+	d.collect()
+	if d.whole {
+		d.checkReferences()
+		d.checkExceptions()
+	}
+	if err := d.faults.err(); err != nil {
+		return nil, err
+	}
+	d.snapshot.index()
+	return d.snapshot, nil
+}
+
+// decode reads the parts in the order of the manifest.
+func (d *draft) decode(m *Manifest, parts map[string][]byte) {
+	listed := map[string]bool{}
+	for _, ref := range m.Parts {
+		listed[ref.Digest] = true
+		b, ok := parts[ref.Digest]
+		if !ok {
+			d.faults.add(ManifestPart, entry("Parts", ref.Name), "the part with digest %s is missing", ref.Digest)
+			d.whole = false
+			continue
+		}
+		if sum := DigestOf(b); sum != ref.Digest {
+			d.faults.add(ref.Name, "", "the digest is %s, the manifest says %s", sum, ref.Digest)
+			d.whole = false
+			continue
+		}
+		p := draftPart{name: ref.Name}
+		if !decode(d.faults, ref.Name, b, &p.doc) {
+			d.whole = false
+			continue
+		}
+		d.parts = append(d.parts, p)
+	}
+	for _, digest := range slices.Sorted(maps.Keys(parts)) {
+		if !listed[digest] {
+			d.faults.add(digest, "", "the manifest does not list this part")
+		}
+	}
+}
+
+// collect merges the parts into the snapshot and checks each entry by itself.
+func (d *draft) collect() {
+	s := d.snapshot
+	s.Zones, s.Services = map[string]*AvailabilityZone{}, map[string]*Service{}
+	s.Hosts, s.Accounts = map[string]*Host{}, map[string]*ClientAccount{}
+	s.routes = map[string]*Route{}
+	for i := range d.parts {
+		p := &d.parts[i]
+		d.collectDefaults(p)
+		d.collectZones(p)
+		d.collectServices(p)
+		d.collectHosts(p)
+		d.collectRoutes(p)
+		d.collectAccounts(p)
+		s.Exceptions = append(s.Exceptions, p.doc.Exceptions...)
+	}
+	if d.whole && d.defaultsIn == "" {
+		d.faults.add(ManifestPart, "Defaults", "no part has the defaults")
+	}
+}
+
+func (d *draft) collectDefaults(p *draftPart) {
+	v := p.doc.Defaults
+	if v == nil {
+		return
+	}
+	if d.defaultsIn != "" {
+		d.faults.add(p.name, "Defaults", "part %s has the defaults already", d.defaultsIn)
+		return
+	}
+	d.defaultsIn = p.name
+	d.snapshot.Defaults = *v
+	for _, s := range settings {
+		if _, ok := s.get(v); !ok {
+			d.faults.add(p.name, "Defaults."+s.name, "every default must be set")
+		}
+	}
+	checkValues(d.faults, p.name, "Defaults", v)
+	if v.Slots != nil && v.ColdSlots != nil && *v.ColdSlots > *v.Slots {
+		d.faults.add(p.name, "Defaults.ColdSlots", "%d exceeds Slots, %d", *v.ColdSlots, *v.Slots)
+	}
+}
+
+func (d *draft) collectZones(p *draftPart) {
+	for i := range p.doc.Zones {
+		z := &p.doc.Zones[i]
+		key := entry("Zones", z.Name)
+		checkTitle(d.faults, p.name, key+".Name", z.Name)
+		checkTitle(d.faults, p.name, key+".Region", z.Region)
+		addNamed(d.faults, p.name, key, d.snapshot.Zones, z.Name, z)
+	}
+}
+
+func (d *draft) collectServices(p *draftPart) {
+	for i := range p.doc.Services {
+		s := &p.doc.Services[i]
+		key := entry("Services", s.Name)
+		checkIdentifier(d.faults, p.name, key+".Name", s.Name)
+		addNamed(d.faults, p.name, key, d.snapshot.Services, s.Name, s)
+	}
+}
+
+func (d *draft) collectHosts(p *draftPart) {
+	for i := range p.doc.Hosts {
+		h := &p.doc.Hosts[i]
+		key := entry("Hosts", h.ID)
+		checkHostID(d.faults, p.name, key+".ID", h.ID)
+		addNamed(d.faults, p.name, key, d.snapshot.Hosts, h.ID, h)
+	}
+}
+
+func (d *draft) collectRoutes(p *draftPart) {
+	for i := range p.doc.Routes {
+		r := &p.doc.Routes[i]
+		key := entry("Routes", r.Prefix)
+		checkPrefix(d.faults, p.name, key+".Prefix", r.Prefix)
+		addNamed(d.faults, p.name, key, d.snapshot.routes, r.Prefix, r)
+	}
+}
+
+func (d *draft) collectAccounts(p *draftPart) {
+	for i := range p.doc.Accounts {
+		a := &p.doc.Accounts[i]
+		key := entry("Accounts", a.Name)
+		checkIdentifier(d.faults, p.name, key+".Name", a.Name)
+		for _, k := range a.Keys {
+			if !isDigest(k) {
+				d.faults.add(p.name, key+".Keys", "%q is not a digest of 64 lower-case hexadecimal digits", k)
+			}
+		}
+		addNamed(d.faults, p.name, key, d.snapshot.Accounts, a.Name, a)
+	}
+}
+
+func addNamed[T any](f *Faults, part, key string, to map[string]*T, name string, v *T) {
+	if to[name] != nil {
+		f.add(part, key, "the name occurs twice")
+		return
+	}
+	to[name] = v
+}
+
+// index builds what lookups need from a faultless configuration.
+func (s *Snapshot) index() {
+	s.base.apply(&s.Defaults)
+	s.layers = layersOf(s.Exceptions)
+	for _, r := range s.routes {
+		s.Routes = append(s.Routes, *r)
+	}
+	slices.SortFunc(s.Routes, func(a, b Route) int {
+		return cmp.Or(len(b.Prefix)-len(a.Prefix), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		s.routes[r.Prefix] = r
+		s.longestPrefix = max(s.longestPrefix, len(r.Prefix))
+	}
+	s.keys = make(map[uint64][]keyOwner)
+	for _, a := range s.Accounts {
+		for _, k := range a.Keys {
+			s.indexKey(a, k)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/config/accept_test.go
@@ -0,0 +1,112 @@
+package config_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+func ptr[T any](v T) *T { return &v }
+
+func defaults() *config.Values {
+	return &config.Values{
+		Slots: ptr(12), ColdSlots: ptr(3), ConnectionsPerSecond: ptr(200), QueuePerAccount: ptr(50),
+		CallTimeoutMs: ptr(2000), RetryPercent: ptr(10), MaxHeaderBytes: ptr(16384),
+		Rate: ptr(100.0), Burst: ptr(50.0),
+	}
+}
+
+const deskKey = "qd_test-key"
+
+// parts is a small faultless configuration.
+func parts() map[string]config.Document {
+	return map[string]config.Document{
+		"fleet": {
+			Defaults: defaults(),
+			Zones:    []config.AvailabilityZone{{Name: "Surco", Region: "Lima"}, {Name: "Medellín Centro", Region: "Antioquia"}},
+			Services: []config.Service{{Name: "desk"}, {Name: "records"}},
+			Hosts:    []config.Host{{ID: "desk-1", Service: "desk", Zone: "Surco"}, {ID: "records-1", Service: "records", Zone: "Medellín Centro"}},
+			Routes:   []config.Route{{Prefix: "/", Service: "desk"}, {Prefix: "/files", Service: "records", Open: true, Idempotent: true}, {Prefix: "/files/private", Service: "records"}},
+		},
+		"accounts": {
+			Accounts: []config.ClientAccount{{Name: "club-a", Keys: []string{config.DigestOf([]byte(deskKey))}}, {Name: "club-b"}},
+		},
+		"exceptions": {
+			Exceptions: []config.Exception{
+				{Name: "small-desk", Reason: "half of the memory", Service: "desk", Values: config.Values{Slots: ptr(6)}},
+				{Name: "surco-desk", Reason: "replaced by larger hosts", Service: "desk", Zone: "Surco", Values: config.Values{Slots: ptr(8)}},
+				{Name: "club-b-rate", Reason: "contract of May", Account: "club-b", Values: config.Values{Rate: ptr(500.0)}},
+				{Name: "old", Reason: "until the show", Retired: true, Service: "desk", Values: config.Values{Slots: ptr(1)}},
+			},
+		},
+	}
+}
+
+func accept(t *testing.T, parts map[string]config.Document) (*config.Snapshot, error) {
+	t.Helper()
+	manifest, files, err := config.Publish(7, parts)
+	assert.NilError(t, err)
+	return config.Accept(manifest, files)
+}
+
+// Guards against a faultless configuration being refused, or read wrong.
+func TestAcceptResolvesAWholeConfiguration(t *testing.T) {
+	s, err := accept(t, parts())
+	assert.NilError(t, err)
+	assert.Equal(t, s.Version, uint64(7))
+	assert.Equal(t, s.Zones["Medellín Centro"].Region, "Antioquia")
+	assert.Equal(t, s.Hosts["desk-1"].Service, "desk")
+
+	assert.Equal(t, s.Effective("desk", "Surco", "").Slots, 8)
+	assert.Equal(t, s.Effective("desk", "Medellín Centro", "club-a").Slots, 6)
+	assert.Equal(t, s.Effective("records", "Surco", "").Slots, 12)
+	assert.Equal(t, s.Effective("", "", "club-b").Rate, 500.0)
+	assert.Equal(t, s.Effective("", "", "club-a").Rate, 100.0)
+
+	a, ok := s.AccountOfKey(deskKey)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Name, "club-a")
+	_, ok = s.AccountOfKey(deskKey + "x")
+	assert.Assert(t, !ok)
+}
+
+// Guards against a prefix that matches inside a segment, and against a path
+// that names a closed route in a form that matches an open one.
+func TestRoute(t *testing.T) {
+	s, err := accept(t, parts())
+	assert.NilError(t, err)
+	for _, c := range []struct{ path, prefix string }{
+		{"/", "/"},
+		{"/entries/1", "/"},
+		{"/files", "/files"},
+		{"/files/", "/files"},
+		{"/files/a/b/c/d/e/f/g/h", "/files"},
+		{"/filesystem", "/"},
+		{"/files/private", "/files/private"},
+		{"/files/private/1", "/files/private"},
+		{"/files/privates", "/files"},
+		{"/files/%70rivate/1", "/files/private"},
+		{"/files/a%20b", "/files"},
+		{"/files;x/1", ""},
+		{"/files%3Bx/1", ""},
+		{"", ""},
+		{"files", ""},
+		{"/files/../entries", ""},
+		{"/files/%2e%2E/entries", ""},
+		{"/files/x/..;/private", ""},
+		{"/files/.", ""},
+		{"/files//private", ""},
+		{"/files%2fprivate", ""},
+		{"/files/..%5cprivate", ""},
+		{"/files\\private", ""},
+		{"/files/%zz", ""},
+	} {
+		r, ok := s.Route(c.path)
+		assert.Equal(t, ok, c.prefix != "", "path %q", c.path)
+		if ok {
+			assert.Equal(t, r.Prefix, c.prefix, "path %q", c.path)
+		}
+	}
+}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -29,13 +29,13 @@
 // A name that occurs twice over all parts is refused.
 type Document struct {
 	// Defaults is set in exactly one part and sets every value.
-	Defaults   *Values
-	Zones      []AvailabilityZone
-	Services   []Service
-	Hosts      []Host
-	Routes     []Route
-	Accounts   []ClientAccount
-	Exceptions []Exception
+	Defaults   *Values            `toml:",omitempty"`
+	Zones      []AvailabilityZone `toml:",omitempty"`
+	Services   []Service          `toml:",omitempty"`
+	Hosts      []Host             `toml:",omitempty"`
+	Routes     []Route            `toml:",omitempty"`
+	Accounts   []ClientAccount    `toml:",omitempty"`
+	Exceptions []Exception        `toml:",omitempty"`
 }
 
 // An AvailabilityZone is a group of hosts that can fail or be taken out
@@ -44,7 +44,7 @@
 	Name   string
 	Region string
 	// Out excludes every backend server of the zone from new work.
-	Out bool
+	Out bool `toml:",omitempty"`
 }
 
 // A Service is a set of interchangeable backend servers.
@@ -62,7 +62,7 @@
 	Service string
 	Zone    string
 	// Out excludes the host's backend server from new work.
-	Out bool
+	Out bool `toml:",omitempty"`
 }
 
 // A Route sends requests whose path lies under Prefix to a service.
@@ -71,10 +71,10 @@
 	Prefix  string
 	Service string
 	// Open lets requests without a key pass.
-	Open bool
+	Open bool `toml:",omitempty"`
 	// Idempotent states that repeating any request of the route is safe,
 	// whatever its method.
-	Idempotent bool
+	Idempotent bool `toml:",omitempty"`
 }
 
 // A ClientAccount is a customer whose keys and rate count fleet-wide.
@@ -91,11 +91,11 @@
 	// Reason is never empty: operators explain every exception.
 	Reason string
 	// Service, Zone and Account select; an empty selector matches all.
-	Service string
-	Zone    string
-	Account string
+	Service string `toml:",omitempty"`
+	Zone    string `toml:",omitempty"`
+	Account string `toml:",omitempty"`
 	// Retired exceptions stay on record and have no effect.
-	Retired bool
+	Retired bool `toml:",omitempty"`
 	// Values sets at least one value.
 	Values Values
 }
--- /dev/null
+++ b/pkg/config/effective.go
@@ -0,0 +1,109 @@
+package config
+
+import "slices"
+
+// A selector is what an exception matches; an empty field matches all.
+type selector struct {
+	service, zone, account string
+}
+
+// A layer holds the exceptions that set the same selectors, merged by what
+// they select.
+type layer struct {
+	service, zone, account bool
+	values                 map[selector]*Values
+}
+
+func (l *layer) rank() int {
+	n := 0
+	for _, b := range []bool{l.service, l.zone, l.account} {
+		if b {
+			n++
+		}
+	}
+	return n
+}
+
+// mask keeps the fields of s that the layer's exceptions set.
+func (l *layer) mask(s selector) selector {
+	if !l.service {
+		s.service = ""
+	}
+	if !l.zone {
+		s.zone = ""
+	}
+	if !l.account {
+		s.account = ""
+	}
+	return s
+}
+
+func (e *Exception) selector() selector {
+	return selector{e.Service, e.Zone, e.Account}
+}
+
+// rank is the number of selectors set. The higher rank wins.
+func (e *Exception) rank() int {
+	n := 0
+	for _, s := range []string{e.Service, e.Zone, e.Account} {
+		if s != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// matches reports whether the exception applies to the call.
+func (e *Exception) matches(s selector) bool {
+	return (e.Service == "" || e.Service == s.service) &&
+		(e.Zone == "" || e.Zone == s.zone) &&
+		(e.Account == "" || e.Account == s.account)
+}
+
+// overlaps reports whether some call matches both exceptions.
+func (e *Exception) overlaps(o *Exception) bool {
+	meet := func(a, b string) bool { return a == "" || b == "" || a == b }
+	return meet(e.Service, o.Service) && meet(e.Zone, o.Zone) && meet(e.Account, o.Account)
+}
+
+// layersOf merges live exceptions into at most eight layers, lowest rank
+// first. Layers of equal rank never set the same value for one call, because
+// Accept refuses that as ambiguous.
+func layersOf(exceptions []Exception) []layer {
+	var layers []layer
+	for i := range exceptions {
+		e := &exceptions[i]
+		if e.Retired {
+			continue
+		}
+		at := slices.IndexFunc(layers, func(l layer) bool {
+			return l.service == (e.Service != "") && l.zone == (e.Zone != "") && l.account == (e.Account != "")
+		})
+		if at < 0 {
+			at = len(layers)
+			layers = append(layers, layer{e.Service != "", e.Zone != "", e.Account != "", map[selector]*Values{}})
+		}
+		v := layers[at].values[e.selector()]
+		if v == nil {
+			v = &Values{}
+			layers[at].values[e.selector()] = v
+		}
+		v.merge(&e.Values)
+	}
+	slices.SortStableFunc(layers, func(a, b layer) int { return a.rank() - b.rank() })
+	return layers
+}
+
+// Effective resolves the values for a call: the fleet's defaults, overridden
+// by every live exception that matches. Of two that set the same value the
+// one with more selectors wins. An empty name matches no selector.
+func (s *Snapshot) Effective(service, zone, account string) Effective {
+	e := s.base
+	at := selector{service, zone, account}
+	for i := range s.layers {
+		if v := s.layers[i].values[s.layers[i].mask(at)]; v != nil {
+			e.apply(v)
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/pkg/config/faults.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors holds the error types of the package.
+var Errors = errorx.NewNamespace("config")
+
+var (
+	// ErrRefused is the type behind every *Faults.
+	ErrRefused = Errors.NewType("refused")
+	// ErrEncode says that a document cannot be written as TOML.
+	ErrEncode = Errors.NewType("encode")
+	// ErrRandom says that the system's random source failed.
+	ErrRandom = Errors.NewType("random")
+)
+
+// ManifestPart is the Part of a fault that lies in the manifest.
+const ManifestPart = "manifest"
+
+// A Fault is one reason to refuse a configuration.
+type Fault struct {
+	// Part is the name of the faulty part, ManifestPart for the manifest, or
+	// the digest of a part that the manifest does not list.
+	Part string
+	// Key leads to the faulty value, as in Exceptions["slow-zone"].Values.Slots.
+	Key    string
+	Reason string
+}
+
+// Faults lists every fault found in a configuration, in the order of the
+// manifest's parts. It unwraps to an error of type ErrRefused.
+type Faults struct {
+	List []Fault
+}
+
+// Error returns one line per fault.
+func (f *Faults) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "configuration refused, %d faults", len(f.List))
+	for _, e := range f.List {
+		fmt.Fprintf(&b, "\n%s: %s: %s", e.Part, e.Key, e.Reason)
+	}
+	return b.String()
+}
+
+// Unwrap gives the list its errorx type.
+func (f *Faults) Unwrap() error {
+	return ErrRefused.New("%d faults", len(f.List))
+}
+
+func (f *Faults) add(part, key, reason string, args ...any) {
+	f.List = append(f.List, Fault{Part: part, Key: key, Reason: fmt.Sprintf(reason, args...)})
+}
+
+// err returns f as an error, or nil when there is no fault.
+func (f *Faults) err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/config/manifest.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// DigestOf returns the SHA-256 of b in lower-case hexadecimal.
+func DigestOf(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+// ParseManifest decodes and checks a manifest by itself. The error is a
+// *Faults.
+func ParseManifest(b []byte) (*Manifest, error) {
+	f := &Faults{}
+	m := parseManifest(f, b)
+	if err := f.err(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func parseManifest(f *Faults, b []byte) *Manifest {
+	m := &Manifest{}
+	if !decode(f, ManifestPart, b, m) {
+		return nil
+	}
+	if m.Version == 0 {
+		f.add(ManifestPart, "Version", "must be at least 1")
+	}
+	if len(m.Parts) == 0 {
+		f.add(ManifestPart, "Parts", "must name at least one part")
+	}
+	names, digests := map[string]bool{}, map[string]bool{}
+	for _, p := range m.Parts {
+		key := entry("Parts", p.Name)
+		checkIdentifier(f, ManifestPart, key+".Name", p.Name)
+		if p.Name == ManifestPart {
+			f.add(ManifestPart, key+".Name", "is reserved for the manifest")
+		}
+		if names[p.Name] {
+			f.add(ManifestPart, key, "the name occurs twice")
+		}
+		if !isDigest(p.Digest) {
+			f.add(ManifestPart, key+".Digest", "must be 64 lower-case hexadecimal digits")
+		} else if digests[p.Digest] {
+			f.add(ManifestPart, key+".Digest", "the digest occurs twice")
+		}
+		names[p.Name], digests[p.Digest] = true, true
+	}
+	return m
+}
+
+// decode reads strict TOML into v and reports whether v may be used further.
+func decode(f *Faults, part string, b []byte, v any) bool {
+	if len(b) > ValueLimit {
+		f.add(part, "", "%d bytes exceed the limit of %d", len(b), ValueLimit)
+		return false
+	}
+	d := toml.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var strict *toml.StrictMissingError
+	var one *toml.DecodeError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &strict):
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			f.add(part, strings.Join(strict.Errors[i].Key(), "."), "line %d: unknown key", row)
+		}
+		return true
+	case errors.As(err, &one):
+		row, _ := one.Position()
+		f.add(part, strings.Join(one.Key(), "."), "line %d: %s", row, strings.TrimPrefix(one.Error(), "toml: "))
+	default:
+		f.add(part, "", "%s", strings.TrimPrefix(err.Error(), "toml: "))
+	}
+	return false
+}
+
+func isDigest(s string) bool {
+	if len(s) != hex.EncodedLen(sha256.Size) {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// entry writes the key of one named entry of a list.
+func entry(list, name string) string {
+	return fmt.Sprintf("%s[%q]", list, name)
+}
--- /dev/null
+++ b/pkg/config/publish.go
@@ -0,0 +1,29 @@
+package config
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Publish encodes the parts of one version. files maps each part's digest to
+// its bytes. Publish does not judge the content: Accept does.
+func Publish(version uint64, parts map[string]Document) (manifest []byte, files map[string][]byte, err error) {
+	m := Manifest{Version: version}
+	files = make(map[string][]byte, len(parts))
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		b, err := toml.Marshal(parts[name])
+		if err != nil {
+			return nil, nil, ErrEncode.Wrap(err, "part %s", name)
+		}
+		digest := DigestOf(b)
+		files[digest] = b
+		m.Parts = append(m.Parts, PartRef{Name: name, Digest: digest})
+	}
+	manifest, err = toml.Marshal(m)
+	if err != nil {
+		return nil, nil, ErrEncode.Wrap(err, "manifest of version %d", version)
+	}
+	return manifest, files, nil
+}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -15,4 +15,13 @@
 	Routes     []Route
 	Defaults   Values
 	Exceptions []Exception
+
+	// base is Defaults resolved; layers override it, lowest rank first.
+	base   Effective
+	layers []layer
+	// routes maps prefixes to entries of Routes.
+	routes        map[string]*Route
+	longestPrefix int
+	// keys maps the first eight bytes of key digests to their owners.
+	keys map[uint64][]keyOwner
 }
