standin: add platform and backend server stand-ins

Cause: the data path and the distribution need something to run against, and the users' platform is met by published protocol only.

Change: Platform serves values and watches over HTTP with a read capacity, counts, lag, outage, hang, stale and crossed publications. BackendServer has slots, a short queue, a cold start that falls over under load, connection cost and limit, drain, restart, silent connections and misleading reports. Executions records runs, doubled keys and leaked keys; Echo lets a caller check that it got the whole answer to its own request.

--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,269 @@
+package standin
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Defaults of a backend server, from the users' description of theirs.
+const (
+	DefaultSlots          = 12
+	DefaultColdSlots      = 2
+	DefaultConnections    = 130
+	DefaultConnectionCost = time.Millisecond
+	DefaultWarmUp         = 5 * time.Second
+	DefaultServiceTime    = 4 * time.Millisecond
+	defaultServiceSpread  = 0.4
+	defaultQueue          = 8
+	defaultRestartTime    = 300 * time.Millisecond
+	defaultFallOver       = 2 * time.Second
+	// coldStrain is how many requests beyond its present capacity a cold
+	// server starts before it falls over.
+	coldStrain = 5
+	// coldSlack is added to the present capacity before a request counts as
+	// strain: "about 2" of the users' description.
+	coldSlack = 1
+)
+
+// A Health is what the health endpoint tells.
+type Health string
+
+// The behaviours of the health and load endpoints.
+const (
+	Truthful  Health = ""
+	AlwaysOK  Health = "always-ok"
+	AlwaysBad Health = "always-bad"
+	// Lagging answers with the state of about two seconds ago.
+	Lagging Health = "lagging"
+)
+
+// A BackendServer imitates one backend server: HTTP/1.1 on loopback, a limited
+// number of slots, a short queue, shedding with 503, a cold start, a cost per
+// new connection, and the faults that its methods switch. Paths and queries
+// are described at serve.
+//
+// The server starts cold: it bears ColdSlots requests at once at first and
+// Slots after WarmUp. It runs up to Slots at once by itself even while cold.
+// More than coldStrain requests beyond its present capacity in one cold phase
+// make it fall over: it stops answering for FallOver and starts cold again.
+type BackendServer struct {
+	ID             string
+	Slots          int
+	ColdSlots      int
+	Queue          int
+	Connections    int
+	ConnectionCost time.Duration
+	WarmUp         time.Duration
+	// ServiceTime is the median; Spread is the sigma of its logarithm. The
+	// time of one request depends only on Seed and the request's Trial-Id.
+	ServiceTime time.Duration
+	Spread      float64
+	Seed        uint64
+	RestartTime time.Duration
+	FallOver    time.Duration
+	// CallerAddress is the caller listener of the server's own node, used by
+	// nested calls.
+	CallerAddress string
+	// Executions is shared by all backend servers of a run.
+	Executions *Executions
+
+	nested   *http.Transport
+	slots    chan struct{}
+	mu       sync.Mutex
+	address  string
+	listener *listener
+	server   *http.Server
+	stopBoot context.CancelFunc // cancels what runs when the server stops
+	booted   time.Time
+	running  int
+	waiting  int
+	strain   int
+	draining bool
+	down     bool
+	closed   bool
+	health   Health
+	stats    BackendStats
+	samples  []sample
+}
+
+// BackendStats are counts since the creation of the server.
+type BackendStats struct {
+	Boots     int
+	FellOver  int
+	Executed  int
+	Shed      int
+	Cancelled int
+	Expired   int // ended by the deadline header
+	// PeakRunning and PeakConnections are the largest numbers at once.
+	PeakRunning     int
+	PeakConnections int
+	// PeakCold is the largest number running at once within the first fifth
+	// of a cold phase, and ColdExcess the largest number running beyond the
+	// present capacity of any cold phase.
+	PeakCold   int
+	ColdExcess int
+	// AfterDrain is how many requests arrived after Drain.
+	AfterDrain int
+	LastArrive time.Time
+}
+
+// NewBackendServer returns a server with the default values. Fields are
+// changed before Start.
+func NewBackendServer(id string, x *Executions) *BackendServer {
+	return &BackendServer{
+		ID: id, Slots: DefaultSlots, ColdSlots: DefaultColdSlots, Queue: defaultQueue,
+		Connections: DefaultConnections, ConnectionCost: DefaultConnectionCost,
+		WarmUp: DefaultWarmUp, ServiceTime: DefaultServiceTime, Spread: defaultServiceSpread,
+		RestartTime: defaultRestartTime, FallOver: defaultFallOver, Executions: x,
+	}
+}
+
+// Start listens on a free loopback port; the server is cold.
+func (b *BackendServer) Start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.address = "127.0.0.1:0"
+	b.nested = &http.Transport{MaxIdleConnsPerHost: b.Slots, DisableCompression: true}
+	return b.bootLocked()
+}
+
+func (b *BackendServer) bootLocked() error {
+	l, err := listen(b.address, b.ConnectionCost, b.Connections)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b.address = l.Addr().String()
+	b.listener, b.stopBoot = l, stop
+	b.slots = make(chan struct{}, b.Slots)
+	b.booted = time.Now()
+	b.running, b.waiting, b.strain = 0, 0, 0
+	b.draining, b.down = false, false
+	b.stats.Boots++
+	boot := &boot{server: b, ctx: ctx, slots: b.slots, number: b.stats.Boots}
+	b.server = &http.Server{Handler: boot}
+	go func(s *http.Server) { _ = s.Serve(l) }(b.server)
+	return nil
+}
+
+// stopLocked drops the listener, every connection and everything that runs.
+func (b *BackendServer) stopLocked() {
+	if b.down {
+		return
+	}
+	b.down = true
+	b.stopBoot()
+	_ = b.listener.Listener.Close()
+	b.listener.resetAll()
+	_ = b.server.Close()
+}
+
+// Close ends the server as a killed process ends.
+func (b *BackendServer) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.stopLocked()
+	b.nested.CloseIdleConnections()
+}
+
+// Restart drops everything without warning and starts cold on the same port
+// after RestartTime. It returns once the server listens again.
+func (b *BackendServer) Restart() error { return b.outage(b.RestartTime) }
+
+func (b *BackendServer) outage(d time.Duration) error {
+	b.mu.Lock()
+	already := b.down
+	b.stopLocked()
+	b.mu.Unlock()
+	if already {
+		return nil
+	}
+	time.Sleep(d)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil
+	}
+	return b.bootLocked()
+}
+
+// Drain lets running requests finish and refuses new ones with 503.
+func (b *BackendServer) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+}
+
+// Silence makes all open connections silent for good, while new ones work. It
+// returns how many there were.
+func (b *BackendServer) Silence() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listener.silence()
+}
+
+// SetHealth changes what the health and load endpoints tell.
+func (b *BackendServer) SetHealth(h Health) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.health = h
+}
+
+// Address is the IP address and port of the server.
+func (b *BackendServer) Address() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.address
+}
+
+// Stats returns the counts so far.
+func (b *BackendServer) Stats() BackendStats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats
+}
+
+// capacityLocked is how many requests at once the server bears at this moment.
+func (b *BackendServer) capacityLocked() (capacity float64, cold bool) {
+	age := time.Since(b.booted)
+	if age >= b.WarmUp {
+		return float64(b.Slots), false
+	}
+	part := float64(age) / float64(b.WarmUp)
+	return float64(b.ColdSlots) + part*float64(b.Slots-b.ColdSlots), true
+}
+
+// startLocked accounts for a request that begins to run. It returns how much
+// slower than its service time the request runs, and whether the server falls
+// over.
+func (b *BackendServer) startLocked() (slowdown float64, fallsOver bool) {
+	b.running++
+	b.stats.Executed++
+	b.stats.PeakRunning = max(b.stats.PeakRunning, b.running)
+	capacity, cold := b.capacityLocked()
+	if !cold {
+		return 1, false
+	}
+	excess := b.running - int(math.Ceil(capacity))
+	b.stats.ColdExcess = max(b.stats.ColdExcess, excess)
+	if time.Since(b.booted) < b.WarmUp/5 {
+		b.stats.PeakCold = max(b.stats.PeakCold, b.running)
+	}
+	if excess > coldSlack {
+		b.strain++
+	}
+	return max(1, float64(b.running)/capacity), b.strain > coldStrain
+}
+
+// serviceTime is the time one request takes on a warm server.
+func (b *BackendServer) serviceTime(trial string) time.Duration {
+	r := rand.New(rand.NewPCG(b.Seed, xxhash.Sum64String(trial)))
+	return time.Duration(float64(b.ServiceTime) * math.Exp(b.Spread*r.NormFloat64()))
+}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,158 @@
+package standin_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/standin"
+)
+
+func startBackend(t *testing.T, set func(*standin.BackendServer)) *standin.BackendServer {
+	t.Helper()
+	b := standin.NewBackendServer("h-1", standin.NewExecutions())
+	if set != nil {
+		set(b)
+	}
+	assert.NilError(t, b.Start())
+	t.Cleanup(b.Close)
+	return b
+}
+
+func warm(b *standin.BackendServer) { b.WarmUp = 0 }
+
+func client(t *testing.T) *http.Client {
+	t.Helper()
+	tr := &http.Transport{MaxIdleConnsPerHost: 64}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr, Timeout: 2 * time.Second}
+}
+
+func call(t *testing.T, c *http.Client, b *standin.BackendServer, path string, header ...string) (int, []byte) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+b.Address()+path, bytes.NewReader(nil))
+	if err != nil {
+		t.Error(err)
+		return 0, nil
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	a, err := c.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return a.StatusCode, body
+}
+
+// together makes n calls at once and returns how often each status came.
+func together(t *testing.T, c *http.Client, b *standin.BackendServer, n int, path string) map[int]int {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[int]int{}
+	for i := range n {
+		wg.Go(func() {
+			status, _ := call(t, c, b, path, standin.HeaderTrial, "t-"+strconv.Itoa(i))
+			mu.Lock()
+			defer mu.Unlock()
+			out[status]++
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// Guards against executions, doubled keys and leaked keys going unrecorded,
+// and against an echo that a caller cannot check.
+func TestBackendServerRecordsExecutions(t *testing.T) {
+	b := startBackend(t, warm)
+	b.Executions.Secrets = []string{"k-secret"}
+	c := client(t)
+	status, body := call(t, c, b, "/entries?size=1000", standin.HeaderTrial, "t-1", standin.HeaderAccount, "club",
+		standin.HeaderRequestID, "r-1", standin.HeaderIdempotencyKey, "i-1")
+	assert.Equal(t, status, http.StatusOK)
+	e, ok := standin.DecodeEcho(body)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, e, standin.Echo{Trial: "t-1", Account: "club", Path: "/entries", Host: "h-1", Size: 1000})
+	_, ok = standin.DecodeEcho(append(body[:500:500], body[501:]...))
+	assert.Assert(t, !ok)
+	assert.Equal(t, b.Executions.Leaks(), 0)
+	call(t, c, b, "/entries", standin.HeaderAccount, "club", standin.HeaderIdempotencyKey, "i-1", "Other", "x k-secret")
+	assert.Equal(t, b.Executions.OfTrial("t-1"), 1)
+	assert.Equal(t, b.Executions.OfRequest("r-1", "/entries"), 1)
+	assert.DeepEqual(t, b.Executions.DoubledKeys(), []string{"club i-1"})
+	assert.Equal(t, b.Executions.Leaks(), 1)
+}
+
+// Guards against a server without a limit: the fault that gates exist for.
+func TestBackendServerSheds(t *testing.T) {
+	b := startBackend(t, func(b *standin.BackendServer) { warm(b); b.Slots, b.Queue = 3, 2 })
+	got := together(t, client(t), b, 20, "/x?ms=300")
+	assert.Equal(t, got[http.StatusOK], 5)
+	assert.Equal(t, got[http.StatusServiceUnavailable], 15)
+	assert.Equal(t, b.Stats().PeakRunning, 3)
+}
+
+// Guards against a cold server that bears full load.
+func TestBackendServerFallsOverWhenCold(t *testing.T) {
+	b := startBackend(t, func(b *standin.BackendServer) { b.WarmUp, b.FallOver = time.Hour, 50*time.Millisecond })
+	c := client(t)
+	got := together(t, c, b, 3, "/x?ms=100")
+	assert.Equal(t, got[http.StatusOK], 3)
+	assert.Equal(t, b.Stats().FellOver, 0)
+	got = together(t, c, b, 12, "/x?ms=200")
+	assert.Equal(t, got[0], 12)
+	s := b.Stats()
+	assert.Equal(t, s.FellOver, 1)
+	assert.Assert(t, s.ColdExcess > 1)
+	for s.Boots < 2 {
+		s = b.Stats()
+	}
+	assert.Equal(t, together(t, c, b, 2, "/x?ms=1")[http.StatusOK], 2)
+}
+
+// Guards against deadline, drain, restart and silence having no effect.
+func TestBackendServerFaults(t *testing.T) {
+	b := startBackend(t, func(b *standin.BackendServer) { warm(b); b.RestartTime = time.Millisecond })
+	c := client(t)
+	status, _ := call(t, c, b, "/x?ms=1000", standin.HeaderTimeout, "20")
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Equal(t, b.Stats().Expired, 1)
+	assert.Equal(t, b.Silence(), 1)
+	status, _ = call(t, c, b, "/x")
+	assert.Equal(t, status, 0)
+	status, _ = call(t, c, b, "/x")
+	assert.Equal(t, status, http.StatusOK)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		status, _ := call(t, c, b, "/x?ms=1500", standin.HeaderTrial, "cut")
+		assert.Check(t, status == 0)
+	})
+	for b.Executions.OfTrial("cut") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, b.Restart())
+	wg.Wait()
+	assert.Equal(t, b.Stats().Boots, 2)
+	b.Drain()
+	status, _ = call(t, c, b, "/x")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, b.Stats().AfterDrain, 1)
+	status, _ = call(t, c, b, "/healthz")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	b.SetHealth(standin.AlwaysOK)
+	status, _ = call(t, c, b, "/healthz")
+	assert.Equal(t, status, http.StatusOK)
+}
--- /dev/null
+++ b/internal/standin/echo.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// An Echo is what a backend server answers: whose request it ran and where.
+type Echo struct {
+	Trial   string
+	Account string
+	Path    string
+	Host    string
+	// Nested is the status of the nested call, 0 without one.
+	Nested int
+	// Size is the length of the filler between head and checksum in bytes.
+	Size int
+}
+
+// Encode returns head line, filler and checksum line.
+func (e Echo) Encode() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s|%s|%s|%s|%d|%d\n", e.Trial, e.Account, e.Path, e.Host, e.Nested, e.Size)
+	seed := xxhash.Sum64String(e.Trial)
+	for range e.Size {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		b.WriteByte('a' + byte(seed>>33)%26)
+	}
+	fmt.Fprintf(&b, "\n%016x\n", xxhash.Sum64(b.Bytes()))
+	return b.Bytes()
+}
+
+// DecodeEcho returns the echo of a body and false if the body is not the whole
+// of one answer.
+func DecodeEcho(b []byte) (Echo, bool) {
+	const tail = 18 // newline, 16 digits, newline
+	if len(b) < tail {
+		return Echo{}, false
+	}
+	body, sum := b[:len(b)-tail], b[len(b)-tail+1:len(b)-1]
+	want, err := strconv.ParseUint(string(sum), 16, 64)
+	if err != nil || want != xxhash.Sum64(body) {
+		return Echo{}, false
+	}
+	head, filler, ok := bytes.Cut(body, []byte("\n"))
+	f := bytes.Split(head, []byte("|"))
+	if !ok || len(f) != 6 {
+		return Echo{}, false
+	}
+	e := Echo{Trial: string(f[0]), Account: string(f[1]), Path: string(f[2]), Host: string(f[3])}
+	e.Nested, _ = strconv.Atoi(string(f[4]))
+	e.Size, _ = strconv.Atoi(string(f[5]))
+	return e, e.Size == len(filler)
+}
--- /dev/null
+++ b/internal/standin/executions.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// Header names that the stand-ins read.
+const (
+	HeaderRequestID      = "Quetzaldock-Request-Id"
+	HeaderAccount        = "Quetzaldock-Account"
+	HeaderCall           = "Quetzaldock-Call"
+	HeaderNotRun         = "Quetzaldock-Not-Run"
+	HeaderTimeout        = "Quetzaldock-Timeout-Ms"
+	HeaderBudget         = "Quetzaldock-Budget-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTrial carries the caller's own identification of a request. It is
+	// an ordinary header, so the mesh passes it on unchanged.
+	HeaderTrial = "Trial-Id"
+)
+
+// Executions records what all backend servers of one run executed, so that a
+// check can find doubled runs, false "not run" answers and leaked keys. A
+// request counts as executed from the moment it takes a slot, even if it is
+// cancelled later.
+type Executions struct {
+	// Secrets are callers' keys; finding one in any header of a request
+	// counts as a leak. Set before the first request.
+	Secrets []string
+
+	mu       sync.Mutex
+	requests map[string]int // by Quetzaldock-Request-Id and service path
+	trials   map[string]int // by Trial-Id
+	keys     map[string]int // by account and Idempotency-Key
+	accounts map[string]int
+	leaks    int
+	total    int
+}
+
+// NewExecutions returns an empty record.
+func NewExecutions() *Executions {
+	return &Executions{
+		requests: map[string]int{}, trials: map[string]int{},
+		keys: map[string]int{}, accounts: map[string]int{},
+	}
+}
+
+// Inspect looks for a caller's key in an arriving request, run or not.
+func (e *Executions) Inspect(r *http.Request) {
+	if !e.leaked(r) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaks++
+}
+
+func (e *Executions) leaked(r *http.Request) bool {
+	if r.Header.Get("Authorization") != "" {
+		return true
+	}
+	for _, vs := range r.Header {
+		for _, v := range vs {
+			for _, s := range e.Secrets {
+				if strings.Contains(v, s) {
+					return true
+				}
+			}
+		}
+	}
+	for _, s := range e.Secrets {
+		if strings.Contains(r.URL.RawQuery, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin records that a backend server starts to run the request.
+func (e *Executions) Begin(r *http.Request) {
+	id, trial := r.Header.Get(HeaderRequestID), r.Header.Get(HeaderTrial)
+	account, key := r.Header.Get(HeaderAccount), r.Header.Get(HeaderIdempotencyKey)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.total++
+	e.accounts[account]++
+	if id != "" {
+		e.requests[id+" "+r.URL.Path]++
+	}
+	if trial != "" {
+		e.trials[trial]++
+	}
+	if key != "" {
+		e.keys[account+" "+key]++
+	}
+}
+
+// OfTrial is how often requests with the Trial-Id were executed.
+func (e *Executions) OfTrial(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.trials[id]
+}
+
+// OfRequest is how often the request with this Quetzaldock-Request-Id was
+// executed under the path.
+func (e *Executions) OfRequest(id, path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[id+" "+path]
+}
+
+// OfKey is how often an account's Idempotency-Key was executed.
+func (e *Executions) OfKey(account, key string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.keys[account+" "+key]
+}
+
+// DoubledKeys lists accounts and Idempotency-Keys that were executed more than
+// once.
+func (e *Executions) DoubledKeys() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	for k, n := range e.keys {
+		if n > 1 {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// OfAccount is how many requests ran for the account.
+func (e *Executions) OfAccount(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.accounts[name]
+}
+
+// Leaks is how many requests reached a backend server with a caller's key.
+func (e *Executions) Leaks() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaks
+}
+
+// Total is how many requests were executed.
+func (e *Executions) Total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.total
+}
--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,118 @@
+package standin_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/standin"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+func startPlatform(t *testing.T) *standin.Platform {
+	t.Helper()
+	p := standin.NewPlatform()
+	assert.NilError(t, p.Start())
+	t.Cleanup(p.Close)
+	return p
+}
+
+// read returns status 0 when no answer came within two seconds.
+func read(t *testing.T, p *standin.Platform, query string) (status int, revision, body string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL()+"/v1/values/"+query, nil)
+	assert.NilError(t, err)
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", ""
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	return a.StatusCode, a.Header.Get("Revision"), string(b)
+}
+
+// Guards against a watch that answers early, misses a write or hangs.
+func TestPlatformWatch(t *testing.T) {
+	p := startPlatform(t)
+	status, _, _ := read(t, p, "parts/ab")
+	assert.Equal(t, status, http.StatusNotFound)
+	assert.NilError(t, p.Set("parts/ab", []byte("one")))
+	status, rev, body := read(t, p, "parts/ab")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "one")
+	status, same, _ := read(t, p, "parts/ab?after="+rev+"&wait_ms=20")
+	assert.Equal(t, status, http.StatusNotModified)
+	assert.Equal(t, same, rev)
+	time.AfterFunc(20*time.Millisecond, func() { _ = p.Set("parts/ab", []byte("two")) })
+	status, next, body := read(t, p, "parts/ab?after="+rev+"&wait_ms=1500")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "two")
+	assert.Assert(t, next != rev)
+	assert.Equal(t, p.Counts().Parts, 4)
+}
+
+// Guards against a fault that does not do what it says.
+func TestPlatformFaults(t *testing.T) {
+	p := startPlatform(t)
+	assert.NilError(t, p.Set("manifest", []byte("old")))
+	assert.NilError(t, p.SetFault(standin.Stale))
+	assert.NilError(t, p.Set("manifest", []byte("new")))
+	_, _, body := read(t, p, "manifest")
+	assert.Equal(t, body, "old")
+	assert.NilError(t, p.SetFault(standin.Fail))
+	status, _, _ := read(t, p, "manifest")
+	assert.Equal(t, status, http.StatusInternalServerError)
+	assert.NilError(t, p.SetFault(standin.Refuse))
+	status, _, _ = read(t, p, "manifest")
+	assert.Equal(t, status, 0)
+	assert.NilError(t, p.SetFault(standin.Hang))
+	status, _, _ = read(t, p, "manifest")
+	assert.Equal(t, status, 0)
+	assert.NilError(t, p.SetFault(standin.NoFault))
+	_, _, body = read(t, p, "manifest")
+	assert.Equal(t, body, "new")
+}
+
+// Guards against publications that are never crossed although a test asked
+// for it, and against crossings that never end.
+func TestPlatformCrossing(t *testing.T) {
+	p := startPlatform(t)
+	p.Cross(standin.ManifestFirst, 200*time.Millisecond)
+	assert.NilError(t, p.Publish([]byte("m1"), map[string][]byte{"aa": []byte("a")}))
+	status, _, _ := read(t, p, "manifest")
+	assert.Equal(t, status, http.StatusOK)
+	status, _, _ = read(t, p, "parts/aa")
+	assert.Equal(t, status, http.StatusNotFound)
+	_, _, body := read(t, p, "parts/aa?after=0&wait_ms=1900")
+	assert.Equal(t, body, "a")
+	p.Cross(standin.WrongParts, 200*time.Millisecond)
+	assert.NilError(t, p.Publish([]byte("m2"), map[string][]byte{"bb": []byte("b"), "cc": []byte("c")}))
+	_, rev, body := read(t, p, "parts/bb")
+	assert.Equal(t, body, "c")
+	_, _, body = read(t, p, "parts/bb?after="+rev+"&wait_ms=1900")
+	assert.Equal(t, body, "b")
+}
+
+// Guards against a capacity limit that is not counted per read.
+func TestPlatformCapacity(t *testing.T) {
+	p := startPlatform(t)
+	p.ReadsPerSecond = 3
+	assert.NilError(t, p.SetHosts(hosts.List{Hosts: []hosts.Host{{ID: "h-1", State: hosts.Live}}}))
+	for range 3 {
+		status, _, _ := read(t, p, "hosts")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	status, _, _ := read(t, p, "hosts")
+	assert.Equal(t, status, http.StatusTooManyRequests)
+	c := p.Counts()
+	assert.Equal(t, c.Hosts, 4)
+	assert.Equal(t, c.Throttled, 1)
+	assert.Equal(t, c.PeakPerSecond, 4)
+}
