Add gate and host choice as decision structs

Cause: the data path needs admission at the backend server, idempotency memory, host choice and retry decisions to be wired against.

--- /dev/null
+++ b/pkg/balance/chooser.go
@@ -0,0 +1,241 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// unknownPermits is assumed of a host that has not reported yet: the
+	// number of calls a cold backend server bears.
+	unknownPermits = 2
+	// closedFor is how long a host is avoided that refused new work. A later
+	// view of hosts and configuration says the same by then.
+	closedFor = 3 * time.Second
+	// loadHalfLife is the age at which half of the load that others caused at
+	// a host is forgotten. Without it a host that was once reported full
+	// would never be asked again.
+	loadHalfLife = time.Second
+	// minRamp is the share of calls that a returning host gets at first.
+	minRamp = 0.1
+)
+
+// A Chooser picks the host for each call. Its exported fields are set before
+// the first call. It is safe for concurrent use.
+type Chooser struct {
+	Now  func() time.Time
+	Rand *rand.Rand
+	// Zone is the availability zone of this node.
+	Zone string
+	// Spill is the load of the own zone above which calls go to all zones.
+	Spill float64
+	// EjectAfter consecutive failures eject a host for EjectFor, doubled with
+	// each further ejection up to EjectMax.
+	EjectAfter int
+	EjectFor   time.Duration
+	EjectMax   time.Duration
+	// EjectShare is the largest share of a service's hosts that are ejected
+	// at once: when all fail, the cause is elsewhere.
+	EjectShare float64
+	// Ramp is the time over which a returning host gets its full share.
+	Ramp time.Duration
+
+	mu       sync.Mutex
+	peers    map[string]*peer
+	services map[string][]*peer
+	updated  bool
+}
+
+// New returns a Chooser for a node in the zone.
+func New(zone string) *Chooser {
+	return &Chooser{
+		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Zone: zone,
+		Spill: 0.8, EjectAfter: 5, EjectFor: 5 * time.Second, EjectMax: time.Minute, EjectShare: 0.5,
+		Ramp:  10 * time.Second,
+		peers: map[string]*peer{}, services: map[string][]*peer{},
+	}
+}
+
+// Update replaces the view of all targets. Hosts that are new, or no longer
+// out or leaving, start their ramp; those of the first view don't, since
+// this node only did not know them.
+func (c *Chooser) Update(targets []Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	peers := make(map[string]*peer, len(targets))
+	services := map[string][]*peer{}
+	for _, t := range targets {
+		p := c.peers[t.ID]
+		switch {
+		case p == nil:
+			p = &peer{}
+			if c.updated {
+				p.rampFrom = now
+			}
+		case (p.Out || p.Leaving) && !t.Out && !t.Leaving:
+			p.rampFrom = now
+			p.load, p.closedUntil = Load{}, time.Time{}
+		}
+		p.Target = t
+		peers[t.ID] = p
+		services[t.Service] = append(services[t.Service], p)
+	}
+	c.peers, c.services, c.updated = peers, services, true
+}
+
+// Pick returns the host for a call of the service, none of exclude. It
+// reports false if no host is left. Started must follow if the host is used.
+func (c *Chooser) Pick(service string, exclude []string) (Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	all := c.eligible(service, exclude, now)
+	if len(all) == 0 {
+		return Target{}, false
+	}
+	if local := c.local(all); len(local) > 0 && c.zoneLoad(local, now) < c.Spill {
+		all = local
+	}
+	return c.choose(all, now).Target, true
+}
+
+// eligible returns the hosts that may get the call. Hosts that are ejected,
+// closed or on their ramp come back in when no other is left.
+func (c *Chooser) eligible(service string, exclude []string, now time.Time) []*peer {
+	all := c.services[service]
+	open := make([]*peer, 0, len(all))
+	var reserve []*peer
+	for _, p := range all {
+		if p.Out || p.Leaving || contains(exclude, p.ID) {
+			continue
+		}
+		if now.Before(p.ejectedUntil) || now.Before(p.closedUntil) || !c.ramped(p, now) {
+			reserve = append(reserve, p)
+			continue
+		}
+		open = append(open, p)
+	}
+	if len(open) == 0 {
+		return reserve
+	}
+	return open
+}
+
+func contains(ids []string, id string) bool {
+	for _, e := range ids {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ramped lets a returning host take part in a rising share of the choices.
+// Chance per call, not a limit per node, makes the ramp hold for any number
+// of calling nodes.
+func (c *Chooser) ramped(p *peer, now time.Time) bool {
+	if p.rampFrom.IsZero() {
+		return true
+	}
+	part := float64(now.Sub(p.rampFrom)) / float64(c.Ramp)
+	if part >= 1 {
+		p.rampFrom = time.Time{}
+		return true
+	}
+	return c.Rand.Float64() < max(part, minRamp)
+}
+
+func (c *Chooser) local(all []*peer) []*peer {
+	var out []*peer
+	for _, p := range all {
+		if p.Zone == c.Zone {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// busy returns the calls at the host: those of this node, and what others
+// had there at the last report, fading with its age.
+func (p *peer) busy(now time.Time) float64 {
+	others := float64(max(0, p.load.Running+p.load.Queued-p.own))
+	age := now.Sub(p.loadAt)
+	if age > 0 {
+		others *= float64(loadHalfLife) / float64(loadHalfLife+age)
+	}
+	return float64(p.inFlight) + others
+}
+
+func (c *Chooser) zoneLoad(local []*peer, now time.Time) float64 {
+	busy, permits := 0.0, 0.0
+	for _, p := range local {
+		busy += p.busy(now)
+		permits += p.permits()
+	}
+	return busy / permits
+}
+
+// choose takes the less loaded of two random hosts, or the least loaded of
+// all when both are full.
+func (c *Chooser) choose(all []*peer, now time.Time) *peer {
+	if len(all) == 1 {
+		return all[0]
+	}
+	i := c.Rand.IntN(len(all))
+	j := c.Rand.IntN(len(all) - 1)
+	if j >= i {
+		j++
+	}
+	best, load := all[i], all[i].busy(now)/all[i].permits()
+	if l := all[j].busy(now) / all[j].permits(); l < load {
+		best, load = all[j], l
+	}
+	if load < 1 {
+		return best
+	}
+	for _, p := range all {
+		if l := p.busy(now) / p.permits(); l < load {
+			best, load = p, l
+		}
+	}
+	return best
+}
+
+// Started records that a call was sent to the host.
+func (c *Chooser) Started(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[id]; p != nil {
+		p.inFlight++
+	}
+}
+
+// Finished records the end of a call at the host and the load that the host
+// reported with it; the zero Load means no report.
+func (c *Chooser) Finished(id string, r Result, l Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[id]
+	if p == nil {
+		return
+	}
+	now := c.Now()
+	p.inFlight = max(0, p.inFlight-1)
+	if l.Permits > 0 {
+		p.load, p.own, p.loadAt = l, p.inFlight, now
+	}
+	switch r {
+	case Good, NotRun:
+		p.failures = 0
+		if r == Good {
+			p.ejections = 0
+		}
+	case Closed:
+		p.closedUntil = now.Add(closedFor)
+	case Failed:
+		p.failures++
+		c.eject(p, now)
+	}
+}
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,213 @@
+// Package gate admits calls to the backend server beside the node.
+//
+// The gate is the only path to that server, so it can promise that a fresh
+// server gets no more load than it bears, that a call which was refused was
+// not run, and that no account takes the slots of the others. It opens no
+// socket and starts no goroutine; the caller's own goroutine waits.
+package gate
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits configures a Gate.
+type Limits struct {
+	// Slots is the largest number of calls the server runs at once.
+	Slots int
+	// ColdSlots is the number of calls that a freshly started server bears.
+	ColdSlots int
+	// ConnectionsPerSecond limits new connections to the server.
+	ConnectionsPerSecond int
+	// QueuePerAccount limits the calls that one account may have waiting.
+	QueuePerAccount int
+	// Weights holds each account's share relative to the others, usually
+	// its rate. An account that is not listed has the weight 1.
+	Weights map[string]float64
+}
+
+// A Call is what the gate needs to know of a request.
+type Call struct {
+	Account        string
+	Service        string
+	IdempotencyKey string
+	Idempotent     bool
+	// Deadline is the time after which no one waits for the answer; zero
+	// means none.
+	Deadline time.Time
+	// ArrivedAt is the time at which the request was read from its
+	// connection; zero means now.
+	ArrivedAt time.Time
+}
+
+// A State says whether the gate takes new work.
+type State int
+
+// The states of a gate. All but Open refuse new and waiting calls; calls
+// that run are finished.
+const (
+	Open State = iota
+	StateDraining
+	StateZoneOut
+	StateHostOut
+	StateLeaving
+)
+
+var stateReasons = map[State]Reason{
+	StateDraining: Draining, StateZoneOut: ZoneOut, StateHostOut: HostOut, StateLeaving: Leaving,
+}
+
+// A Load is what a gate reports in the header Quetzaldock-Load.
+type Load struct {
+	Running int
+	Permits int
+	Queued  int
+}
+
+// A Gate admits calls to one backend server. Its exported fields are set
+// before the first call. It is safe for concurrent use.
+type Gate struct {
+	Now func() time.Time
+	// Behind reports whether the node's configuration is older than the
+	// version floor; nil means never. It must neither block nor call the gate.
+	Behind func() bool
+	// StepInterval is the least time between two rises of the concurrency
+	// limit.
+	StepInterval time.Duration
+	// IdleReset is the time without any call after which the server's state
+	// is unknown and the gate is cold again. Idle connections must be kept
+	// open for longer than this.
+	IdleReset time.Duration
+
+	mu      sync.Mutex
+	limits  Limits
+	state   State
+	running int
+	limit   limiter
+	queues  queues
+	pause   pauses
+	dials   dials
+}
+
+// New returns a cold, open gate with the limits of a small server.
+func New() *Gate {
+	g := &Gate{Now: time.Now, StepInterval: 500 * time.Millisecond, IdleReset: 10 * time.Second}
+	g.queues.accounts = map[string]*account{}
+	g.Configure(Limits{Slots: 4, ColdSlots: 1, ConnectionsPerSecond: 100, QueuePerAccount: 64})
+	g.limit.permits = g.limits.ColdSlots
+	return g
+}
+
+// Configure changes the limits. Calls that run or wait are kept even where
+// the new limits would have refused them.
+func (g *Gate) Configure(l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.Slots = max(1, l.Slots)
+	l.ColdSlots = min(max(1, l.ColdSlots), l.Slots)
+	l.ConnectionsPerSecond = max(1, l.ConnectionsPerSecond)
+	l.QueuePerAccount = max(1, l.QueuePerAccount)
+	g.limits = l
+	g.limit.permits = min(max(g.limit.permits, 1), l.Slots)
+	g.queues.reweigh(l.Weights)
+	g.dispatch(g.Now())
+}
+
+// SetState opens or closes the gate for new work. A closed gate refuses the
+// calls that wait, since none of them has been run.
+func (g *Gate) SetState(s State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state = s
+	if s == Open {
+		return
+	}
+	for _, p := range g.queues.drain() {
+		p.refuse(stateReasons[s])
+	}
+}
+
+// Load returns the present load.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{Running: g.running, Permits: g.limit.permits, Queued: g.queues.queued}
+}
+
+// Tick must be called every 100 ms by one goroutine. It refuses waiting
+// calls whose deadline has passed and notices pauses of the process.
+func (g *Gate) Tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(now)
+	g.pause.lastTick = now
+	for _, p := range g.queues.expired(now) {
+		p.refuse(Late)
+	}
+	g.dispatch(now)
+}
+
+// Offer admits a call without blocking. Exactly one result is set: a Ticket
+// for a call that may run now, a Pending for one that waits, or a *Refusal.
+func (g *Gate) Offer(c Call) (*Ticket, *Pending, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	g.wake(now)
+	if c.ArrivedAt.IsZero() {
+		c.ArrivedAt = now
+	}
+	if r := g.refusal(&c, now); r != "" {
+		return nil, nil, Refuse(r)
+	}
+	g.limit.idle(g, now)
+	if g.queues.queued == 0 && g.running < g.limit.permits {
+		return g.start(c.Account, now), nil, nil
+	}
+	a := g.queues.account(c.Account, g.limits.Weights)
+	if len(a.calls) >= g.limits.QueuePerAccount {
+		return nil, nil, Refuse(QueueFull)
+	}
+	if !c.Deadline.IsZero() && now.Add(g.expectedWait(a, &c)).After(c.Deadline) {
+		return nil, nil, Refuse(Overloaded)
+	}
+	p := &Pending{gate: g, call: c, account: a, ready: make(chan struct{})}
+	g.queues.push(p)
+	return nil, p, nil
+}
+
+func (g *Gate) refusal(c *Call, now time.Time) Reason {
+	switch {
+	case g.state != Open:
+		return stateReasons[g.state]
+	case g.Behind != nil && g.Behind():
+		return Behind
+	case g.pause.covers(c.ArrivedAt):
+		return Paused
+	case !c.Deadline.IsZero() && !now.Before(c.Deadline):
+		return Late
+	}
+	return ""
+}
+
+// start takes a slot. The caller holds the mutex.
+func (g *Gate) start(account string, now time.Time) *Ticket {
+	g.running++
+	g.limit.started(g.running, now)
+	return &Ticket{gate: g, account: account, start: now, limited: g.running >= g.limit.permits, epoch: g.limit.epoch}
+}
+
+// dispatch starts waiting calls while there are free slots.
+func (g *Gate) dispatch(now time.Time) {
+	for g.running < g.limit.permits && g.queues.queued > 0 {
+		p := g.queues.next()
+		if r := g.refusal(&p.call, now); r != "" {
+			p.refuse(r)
+			continue
+		}
+		t := g.start(p.call.Account, now)
+		t.charged = p.charged
+		p.ticket = t
+		close(p.ready)
+	}
+}
--- /dev/null
+++ b/pkg/gate/gate_test.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+)
+
+// clock is a fake clock.
+type clock struct{ t time.Time }
+
+func newClock() *clock { return &clock{time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)} }
+
+func (c *clock) now() time.Time { return c.t }
+
+func (c *clock) add(d time.Duration) time.Time {
+	c.t = c.t.Add(d)
+	return c.t
+}
+
+// newGate returns a gate with a fake clock that is warm unless cold is less
+// than slots.
+func newGate(slots, cold int) (*Gate, *clock) {
+	c := newClock()
+	g := New()
+	g.Now = c.now
+	g.Configure(Limits{Slots: slots, ColdSlots: cold, ConnectionsPerSecond: 100, QueuePerAccount: 64})
+	g.ServerRestarted("test")
+	return g, c
+}
+
+func reason(t *testing.T, err error) Reason {
+	t.Helper()
+	var r *Refusal
+	assert.Assert(t, errors.As(err, &r), "%v is no refusal", err)
+	assert.Assert(t, errorx.IsOfType(errors.Unwrap(err), NotRun))
+	return r.Reason
+}
+
+// Guards against waiting calls that are lost, or run late, when the gate
+// closes or the caller gives up.
+func TestWaitingCallsAreRefusedAsNotRun(t *testing.T) {
+	for _, c := range []struct {
+		want Reason
+		end  func(g *Gate, c *clock, cancel func())
+	}{
+		{ZoneOut, func(g *Gate, _ *clock, _ func()) { g.SetState(StateZoneOut) }},
+		{Leaving, func(g *Gate, _ *clock, _ func()) { g.SetState(StateLeaving) }},
+		{Canceled, func(_ *Gate, _ *clock, cancel func()) { cancel() }},
+		{Late, func(g *Gate, c *clock, _ func()) { g.Tick(c.t.Add(time.Hour)) }},
+	} {
+		g, clk := newGate(1, 1)
+		running, _, err := g.Offer(Call{Account: "a"})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		got := make(chan error, 1)
+		go func() {
+			_, err := g.Enter(ctx, Call{Account: "a", Deadline: clk.t.Add(time.Hour)})
+			got <- err
+		}()
+		for g.Load().Queued == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.end(g, clk, cancel)
+		assert.Equal(t, reason(t, <-got), c.want)
+		assert.Equal(t, g.Load().Queued, 0)
+		running.Done(Good)
+		assert.Equal(t, g.Load().Running, 0)
+		cancel()
+	}
+}
--- /dev/null
+++ b/pkg/gate/limit.go
@@ -0,0 +1,175 @@
+package gate
+
+import "time"
+
+const (
+	// inflated is the ratio to the usual latency above which the limit does
+	// not rise.
+	inflated = 1.5
+	// overloaded is the ratio above which the limit falls.
+	overloaded = 3
+	// latencySlack keeps very short calls from counting as inflated because
+	// of scheduling delays.
+	latencySlack = 2 * time.Millisecond
+	// shedFactor and slowFactor lower the limit after shedding and after
+	// overloaded latency.
+	shedFactor, slowFactor = 0.75, 0.85
+	// idleCloses idle connections closed within idleCloseSpan are taken for
+	// a restart; servers close single idle connections on timeouts.
+	idleCloses    = 3
+	idleCloseSpan = 100 * time.Millisecond
+	// peakSpan is the length of each of the two spans over which the recent
+	// peak of running calls is kept.
+	peakSpan = 5 * time.Second
+)
+
+// A limiter holds the concurrency limit of one backend server.
+type limiter struct {
+	permits int
+	// epoch counts detected restarts. Outcomes of calls that started in an
+	// earlier epoch say nothing about the present server.
+	epoch uint64
+
+	good     int // good answers in this window while the limit was in use
+	answers  int
+	sum      time.Duration
+	usual    time.Duration // moving average of the latency of calm windows
+	lastStep time.Time
+	lastFall time.Time
+	lastEnd  time.Time
+
+	peak, peakBefore int
+	peakSince        time.Time
+	closes           int
+	closesSince      time.Time
+}
+
+// ServerRestarted records evidence that the backend server was started anew.
+// The gate is cold afterwards.
+func (g *Gate) ServerRestarted(reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = reason
+	g.limit.restarted(g, g.Now())
+}
+
+// IdleClosed records that the server closed an idle connection.
+func (g *Gate) IdleClosed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	l := &g.limit
+	if now.Sub(l.closesSince) > idleCloseSpan {
+		l.closes, l.closesSince = 0, now
+	}
+	l.closes++
+	// With fewer calls than idleCloses at once there are fewer connections,
+	// and all of them closed is as much evidence.
+	if l.closes >= min(idleCloses, max(1, l.peak, l.peakBefore)) {
+		l.restarted(g, now)
+	}
+}
+
+func (l *limiter) restarted(g *Gate, now time.Time) {
+	l.epoch++
+	l.permits = g.limits.ColdSlots
+	l.closes = 0
+	l.newWindow(now)
+}
+
+func (l *limiter) newWindow(now time.Time) {
+	l.good, l.answers, l.sum, l.lastStep = 0, 0, 0, now
+}
+
+// idle makes the gate cold when no call ran for IdleReset: without open
+// connections a restart would leave no evidence.
+func (l *limiter) idle(g *Gate, now time.Time) {
+	if g.running == 0 && !l.lastEnd.IsZero() && now.Sub(l.lastEnd) > g.IdleReset {
+		l.lastEnd = now
+		l.restarted(g, now)
+	}
+}
+
+func (l *limiter) started(running int, now time.Time) {
+	if now.Sub(l.peakSince) > peakSpan {
+		l.peakBefore, l.peak, l.peakSince = l.peak, 0, now
+	}
+	l.peak = max(l.peak, running)
+}
+
+// ended learns from the end of a call.
+func (l *limiter) ended(g *Gate, t *Ticket, o Outcome, d time.Duration, now time.Time) {
+	l.lastEnd = now
+	if t.epoch != l.epoch {
+		return
+	}
+	switch o {
+	case Good:
+		l.answers++
+		l.sum += d
+		if t.limited {
+			l.good++
+		}
+		l.step(g, now)
+	case Shed:
+		if l.usual > 0 && l.answers > 0 && l.mean() > overloaded*l.usual+latencySlack {
+			l.restarted(g, now)
+			return
+		}
+		l.fall(shedFactor, 1, g, now)
+	case Failed:
+		l.good = 0
+	case Reset, Refused:
+		l.restarted(g, now)
+	}
+}
+
+func (l *limiter) mean() time.Duration { return l.sum / time.Duration(max(1, l.answers)) }
+
+// step ends a window once it has enough answers: it raises the limit by one
+// if the limit was in use and the latency is as usual.
+func (l *limiter) step(g *Gate, now time.Time) {
+	if now.Sub(l.lastStep) < g.StepInterval || l.answers < l.permits {
+		return
+	}
+	m := l.mean()
+	slow := l.usual > 0 && m > time.Duration(inflated*float64(l.usual))+latencySlack
+	if l.usual > 0 && m > overloaded*l.usual+latencySlack {
+		// A slow dependency of the server looks the same, so latency alone
+		// never takes more than half of the slots away.
+		l.fall(slowFactor, max(g.limits.ColdSlots, g.limits.Slots/2), g, now)
+	} else if !slow && l.good >= l.permits && l.permits < g.limits.Slots {
+		l.permits++
+	}
+	l.learn(m, slow)
+	l.newWindow(now)
+}
+
+// learn follows a falling latency quickly and a rising one slowly, so that a
+// lasting change is accepted in the end and an overload is not.
+func (l *limiter) learn(m time.Duration, slow bool) {
+	switch {
+	case l.usual == 0:
+		l.usual = m
+	case m < l.usual:
+		l.usual += (m - l.usual) / 2
+	case slow:
+		l.usual += (m - l.usual) / 32
+	default:
+		l.usual += (m - l.usual) / 8
+	}
+}
+
+// fall lowers the limit by a factor, at most once per StepInterval, since
+// calls that started before a fall report the same overload.
+func (l *limiter) fall(factor float64, floor int, g *Gate, now time.Time) {
+	l.good = 0
+	if now.Sub(l.lastFall) < g.StepInterval && !l.lastFall.IsZero() {
+		return
+	}
+	l.lastFall = now
+	if n := int(factor * float64(l.permits)); n < l.permits {
+		l.permits = min(l.permits, max(floor, n, 1))
+	}
+	l.newWindow(now)
+}
