--- /dev/null
+++ b/internal/backend/server.go
@@ -0,0 +1,185 @@
+// Package backend speaks to the backend server on this host. Every request
+// for that server passes here: it enters the gate, is checked against the
+// memory of idempotency keys, and is sent once.
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/gate"
+)
+
+// A Server is the way to the backend server of this host. Its exported fields
+// are set before first use.
+type Server struct {
+	// Host and Service say whom this node serves.
+	Host    string
+	Service string
+	Gate    *gate.Gate
+	Memory  *gate.Memory
+	// Pool holds the connections to the backend server.
+	Pool    *http1.Pool
+	Running *Running
+	// Snapshot returns the configuration in force, or nil before the start is
+	// complete.
+	Snapshot func() *config.Snapshot
+	// WaitVersion waits until the given version is in force and reports
+	// whether work may go on.
+	WaitVersion func(ctx context.Context, version uint64) bool
+	Now         func() time.Time
+}
+
+// Do runs a call at the backend server. It fails with *call.NotRun,
+// *call.Unknown or *call.Repeat. The slot at the server is held until the
+// answer's body ends or is closed.
+func (s *Server) Do(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+	if err := s.check(ctx, c); err != nil {
+		return nil, err
+	}
+	k, keyed := s.memoryKey(c)
+	if keyed {
+		if err := s.begin(k); err != nil {
+			return nil, err
+		}
+	}
+	t, err := s.Gate.Enter(ctx, gate.Call{
+		Account: c.Account, Service: c.Service, IdempotencyKey: c.Key,
+		Idempotent: c.Idempotent, Deadline: c.Deadline, ArrivedAt: c.ArrivedAt,
+	})
+	if err != nil {
+		if keyed {
+			s.Memory.Finish(k, gate.NotStarted, 0, s.Now())
+		}
+		return nil, refusal(err)
+	}
+	return s.send(ctx, c, r, &ending{s: s, ticket: t, key: k, keyed: keyed})
+}
+
+// check refuses calls that this host may not run.
+func (s *Server) check(ctx context.Context, c call.Call) error {
+	if !s.WaitVersion(ctx, c.Version) {
+		return &call.NotRun{Reason: "Behind"}
+	}
+	v := s.Snapshot()
+	switch {
+	case v == nil:
+		return &call.NotRun{Reason: "Starting"}
+	case c.Service != s.Service:
+		return &call.NotRun{Reason: "WrongService"}
+	case !s.Now().Before(c.Deadline):
+		return &call.NotRun{Reason: "Late", Final: true}
+	}
+	if c.Account != "" {
+		if _, ok := v.Accounts[c.Account]; !ok {
+			return &call.NotRun{Reason: "UnknownAccount", Final: true}
+		}
+	}
+	return nil
+}
+
+func (s *Server) memoryKey(c call.Call) (gate.Key, bool) {
+	if c.Key == "" || c.Idempotent {
+		return gate.Key{}, false
+	}
+	return gate.Key{Service: c.Service, Account: c.Account, Value: c.Key}, true
+}
+
+// begin claims an idempotency key. Only the key's owner may run it.
+func (s *Server) begin(k gate.Key) error {
+	a := s.Memory.Begin(k, s.Now())
+	switch a.Verdict {
+	case gate.Run:
+		return nil
+	case gate.Running:
+		return &call.Repeat{}
+	case gate.Done:
+		return &call.Repeat{Status: a.Status}
+	case gate.Full:
+		return &call.NotRun{Reason: string(gate.MemoryFull), Final: true}
+	case gate.Elsewhere:
+		return &call.NotRun{Reason: string(gate.NotOwner)}
+	default:
+		return &call.Unknown{Reason: "an earlier request with this key may have run"}
+	}
+}
+
+func refusal(err error) error {
+	var f *gate.Refusal
+	if errors.As(err, &f) {
+		return &call.NotRun{Reason: string(f.Reason), Final: f.Reason == gate.Late}
+	}
+	return &call.NotRun{Reason: "Canceled", Final: true}
+}
+
+// send forwards the request and ties the end of the answer to the ticket.
+func (s *Server) send(ctx context.Context, c call.Call, r *http.Request, e *ending) (*http.Response, error) {
+	token, entry := s.Running.Add(c)
+	e.token, e.entry = token, entry
+	a, err := s.exchange(ctx, c, s.outgoing(c, r, token))
+	if err != nil {
+		return nil, e.failed(ctx, err)
+	}
+	call.StripHop(a.Header)
+	call.StripInternal(a.Header)
+	if a.StatusCode >= http.StatusInternalServerError && entry.HasNestedFailure() {
+		a.Header.Set(call.HeaderRetry, "no")
+	}
+	e.status = a.StatusCode
+	a.Body = &answerBody{ReadCloser: a.Body, e: e}
+	return a, nil
+}
+
+func (s *Server) exchange(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+	if c.Idempotent {
+		return s.Pool.Do(ctx, r)
+	}
+	return s.Pool.DoOnce(ctx, r)
+}
+
+// outgoing builds the request as the backend server sees it.
+func (s *Server) outgoing(c call.Call, r *http.Request, token string) *http.Request {
+	h := r.Header.Clone()
+	call.StripHop(h)
+	call.StripInternal(h)
+	h.Del("Authorization")
+	h.Set(call.HeaderID, c.ID)
+	h.Set(call.HeaderAccount, c.Account)
+	h.Set(call.HeaderCall, token)
+	left := c.Deadline.Sub(s.Now()).Milliseconds()
+	h.Set(call.HeaderTimeout, strconv.FormatInt(max(left, 1), 10))
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+	o := &http.Request{
+		Method: r.Method, Host: r.Host, Header: h, Body: r.Body, ContentLength: r.ContentLength,
+		URL: &url.URL{Scheme: "http", Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+	}
+	if o.Host == "" {
+		o.Host, o.URL.Host = s.Service, s.Service
+	}
+	return o
+}
+
+// outcome says what a failed exchange tells about the backend server.
+func outcome(ctx context.Context, err error) gate.Outcome {
+	switch {
+	case errorx.IsOfType(err, http1.Refused):
+		return gate.Refused
+	case errorx.IsOfType(err, http1.Reset):
+		return gate.Reset
+	case errors.Is(ctx.Err(), context.Canceled):
+		return gate.CallerGone
+	default:
+		return gate.Failed
+	}
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+)
+
+// A Server answers operators. Its exported fields are set before first use.
+type Server struct {
+	Status  func() Status
+	Metrics *Metrics
+	// Level is the log level that operators may change.
+	Level *slog.LevelVar
+	// Drain starts a planned stop.
+	Drain func()
+}
+
+// Handler returns the routes of the operator port.
+func (s *Server) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /status", s.status)
+	m.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	m.HandleFunc("GET /ready", s.ready)
+	m.Handle("GET /metrics", s.Metrics.Handler())
+	m.HandleFunc("GET /log-level", s.level)
+	m.HandleFunc("PUT /log-level", s.setLevel)
+	m.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		s.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return m
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(s.Status())
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if v := s.Status(); !v.Ready || v.Stopping {
+		http.Error(w, v.state(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (s *Server) level(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, s.Level.Level().String()+"\n")
+}
+
+// setLevel takes Debug, Info, Warn or Error as the body.
+func (s *Server) setLevel(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, 16))
+	if err != nil {
+		http.Error(w, "cannot read the level", http.StatusBadRequest)
+		return
+	}
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(strings.TrimSpace(string(b)))); err != nil {
+		http.Error(w, "the level must be Debug, Info, Warn or Error", http.StatusBadRequest)
+		return
+	}
+	s.Level.Set(l)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/peercall/client.go
@@ -0,0 +1,170 @@
+package peercall
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/http1"
+)
+
+const (
+	// maxIdlePerHost bounds the idle connections kept to one host.
+	maxIdlePerHost = 32
+	// idleLimit is how long an unused connection is kept.
+	idleLimit = 30 * time.Second
+	// refusalBytes bounds what is read of a refusal's text.
+	refusalBytes = 1 << 10
+)
+
+// A Client sends calls to other nodes. Its exported fields are set before
+// first use.
+type Client struct {
+	// TLS is the client side of mutual TLS; nil means plain TCP.
+	TLS *tls.Config
+	// SawVersion is told the version of every answer.
+	SawVersion func(v uint64)
+	Now        func() time.Time
+	// Started is when this process started; clock readings count from it.
+	Started time.Time
+	// Keepalive configures TCP's own detection of dead connections.
+	Keepalive net.KeepAliveConfig
+
+	mu    sync.Mutex
+	pools map[string]*http1.Pool
+	id    string
+}
+
+// NewClient returns a client with a fresh process identity.
+func NewClient() *Client {
+	return &Client{
+		SawVersion: func(uint64) {},
+		Now:        time.Now,
+		Started:    time.Now(),
+		Keepalive:  net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		pools:      map[string]*http1.Pool{},
+		id:         rand.Text(),
+	}
+}
+
+// A Load is what a gate says of itself in its answers.
+type Load struct {
+	Running, Permits, Queued int
+	// Known is false when the answer carried no load.
+	Known bool
+}
+
+// Do sends a call to the node at addr once. It fails with *call.NotRun,
+// *call.Unknown or *call.Repeat.
+func (c *Client) Do(ctx context.Context, addr string, k call.Call, r *http.Request, body io.ReadCloser) (*http.Response, Load, error) {
+	p, q := c.pool(addr), c.outgoing(k, r, body)
+	send := p.DoOnce
+	if k.Idempotent {
+		send = p.Do
+	}
+	a, err := send(ctx, q)
+	if err != nil {
+		return nil, Load{}, failure(err)
+	}
+	l := parseLoad(a.Header.Get(call.HeaderLoad))
+	if v, e := strconv.ParseUint(a.Header.Get(call.HeaderVersion), 10, 64); e == nil {
+		c.SawVersion(v)
+	}
+	a, err = answer(a)
+	return a, l, err
+}
+
+// Silent drops the connections to addr after one of them gave no answer.
+func (c *Client) Silent(addr string) { c.pool(addr).Drop() }
+
+// Sweep closes dead and long unused connections; pools without any are
+// forgotten.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	pools := make(map[string]*http1.Pool, len(c.pools))
+	for a, p := range c.pools {
+		pools[a] = p
+	}
+	c.mu.Unlock()
+	before := c.Now().Add(-idleLimit)
+	for a, p := range pools {
+		p.Sweep(before)
+		if p.Open() == 0 {
+			c.mu.Lock()
+			delete(c.pools, a)
+			c.mu.Unlock()
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.Close()
+	}
+}
+
+func (c *Client) pool(addr string) *http1.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[addr]
+	if p == nil {
+		p = &http1.Pool{MaxIdle: maxIdlePerHost, Probe: true, Dial: c.dialer(addr)}
+		c.pools[addr] = p
+	}
+	return p
+}
+
+func (c *Client) dialer(addr string) func(context.Context) (net.Conn, error) {
+	d := &net.Dialer{KeepAliveConfig: c.Keepalive}
+	if c.TLS == nil {
+		return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
+	t := &tls.Dialer{NetDialer: d, Config: c.TLS}
+	return func(ctx context.Context) (net.Conn, error) { return t.DialContext(ctx, "tcp", addr) }
+}
+
+// outgoing builds the request as the other node sees it. The caller's key
+// never leaves this process.
+func (c *Client) outgoing(k call.Call, r *http.Request, body io.ReadCloser) *http.Request {
+	h := make(http.Header, len(r.Header)+10)
+	for n, v := range r.Header {
+		if !strings.HasPrefix(n, call.HeaderPrefix) && n != "Authorization" {
+			h[n] = v
+		}
+	}
+	call.StripHop(h)
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+	now := c.Now()
+	h[call.HeaderID] = []string{k.ID}
+	h[call.HeaderService] = []string{k.Service}
+	h[call.HeaderAccount] = []string{k.Account}
+	h[call.HeaderBudget] = []string{strconv.FormatInt(max(0, k.Deadline.Sub(now).Microseconds()), 10)}
+	h[call.HeaderSent] = []string{c.id + "-" + strconv.FormatInt(now.Sub(c.Started).Microseconds(), 10)}
+	h[call.HeaderDepth] = []string{strconv.Itoa(k.Depth)}
+	h[call.HeaderVersion] = []string{strconv.FormatUint(k.Version, 10)}
+	if k.Idempotent {
+		h[call.HeaderIdempotent] = []string{"1"}
+	}
+	host := r.Host
+	if host == "" {
+		host = k.Service
+	}
+	return &http.Request{
+		Method: r.Method, Host: host, Header: h, Body: body, ContentLength: r.ContentLength,
+		URL: &url.URL{Scheme: "http", Host: host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+	}
+}
--- /dev/null
+++ b/internal/peercall/server.go
@@ -0,0 +1,203 @@
+// Package peercall carries calls between nodes: HTTP/1.1 over mutual TLS, one
+// call per connection at a time, so that answers cannot cross.
+package peercall
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+)
+
+// copyBytes is the size of the buffers that carry bodies.
+const copyBytes = 32 << 10
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBytes)
+	return &b
+}}
+
+// A Server takes calls from other nodes. Its exported fields are set before
+// first use.
+type Server struct {
+	// Do runs a call at the backend server of this host.
+	Do func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error)
+	// Load returns the gate's running, permitted and queued calls.
+	Load func() (running, permits, queued int)
+	// Version returns the configuration version in force.
+	Version func() uint64
+	// Authorized reports whether the connection belongs to a node; nil lets
+	// every connection pass.
+	Authorized func(r *http.Request) bool
+	Now        func() time.Time
+	// Started is when this process started; clock readings count from it.
+	Started time.Time
+
+	mu       sync.Mutex
+	lateness map[string]*call.Lateness
+}
+
+// maxSenders bounds the senders whose lateness is tracked. A fleet has about
+// a thousand nodes, each with a new identity after a restart.
+const maxSenders = 8192
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Authorized != nil && !s.Authorized(r) {
+		http.Error(w, "not a node of this mesh", http.StatusForbidden)
+		return
+	}
+	c, err := s.parse(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	a, err := s.Do(ctx, c, r)
+	s.setLoad(w.Header())
+	if err != nil {
+		WriteFailure(w, err)
+		return
+	}
+	defer func() { _ = a.Body.Close() }()
+	CopyAnswer(w, a)
+}
+
+// parse reads the call's description from the headers of the mesh.
+func (s *Server) parse(r *http.Request) (call.Call, error) {
+	h, now := r.Header, s.Now()
+	budget, err := strconv.ParseInt(h.Get(call.HeaderBudget), 10, 64)
+	if err != nil || budget < 0 {
+		return call.Call{}, &BadHeader{Name: call.HeaderBudget}
+	}
+	depth, err := strconv.Atoi(h.Get(call.HeaderDepth))
+	if err != nil || depth < 0 || depth > call.MaxDepth {
+		return call.Call{}, &BadHeader{Name: call.HeaderDepth}
+	}
+	version, err := strconv.ParseUint(h.Get(call.HeaderVersion), 10, 64)
+	if err != nil {
+		return call.Call{}, &BadHeader{Name: call.HeaderVersion}
+	}
+	late, err := s.late(h.Get(call.HeaderSent), now)
+	if err != nil {
+		return call.Call{}, err
+	}
+	return call.Call{
+		ID: h.Get(call.HeaderID), Service: h.Get(call.HeaderService), Account: h.Get(call.HeaderAccount),
+		Key: h.Get(call.HeaderKey), Idempotent: h.Get(call.HeaderIdempotent) == "1",
+		Deadline:  now.Add(time.Duration(budget)*time.Microsecond - late),
+		ArrivedAt: now.Add(-late), Depth: depth, Version: version,
+	}, nil
+}
+
+// late returns the extra delay of a request. The header is the sender's
+// process identity, a dash, and its clock in microseconds.
+func (s *Server) late(v string, now time.Time) (time.Duration, error) {
+	sender, us, ok := strings.Cut(v, "-")
+	n, err := strconv.ParseInt(us, 10, 64)
+	if !ok || err != nil {
+		return 0, &BadHeader{Name: call.HeaderSent}
+	}
+	s.mu.Lock()
+	l := s.lateness[sender]
+	if l == nil {
+		if s.lateness == nil || len(s.lateness) >= maxSenders {
+			s.lateness = map[string]*call.Lateness{}
+		}
+		l = &call.Lateness{}
+		s.lateness[sender] = l
+	}
+	s.mu.Unlock()
+	return l.Observe(time.Duration(n)*time.Microsecond, now, now.Sub(s.Started)), nil
+}
+
+func (s *Server) setLoad(h http.Header) {
+	r, p, q := s.Load()
+	h.Set(call.HeaderLoad, strconv.Itoa(r)+"/"+strconv.Itoa(p)+"/"+strconv.Itoa(q))
+	h.Set(call.HeaderVersion, strconv.FormatUint(s.Version(), 10))
+}
+
+// A BadHeader error names a header of the mesh that cannot be parsed.
+type BadHeader struct{ Name string }
+
+// Error implements error.
+func (e *BadHeader) Error() string { return "header " + e.Name + " is missing or malformed" }
+
+// WriteFailure answers a call that ended without an answer.
+func WriteFailure(w http.ResponseWriter, err error) {
+	var n *call.NotRun
+	var r *call.Repeat
+	var u *call.Unknown
+	h := w.Header()
+	switch {
+	case errors.As(err, &n):
+		h.Set(call.HeaderNotRun, n.Reason)
+		if n.Final {
+			h.Set(call.HeaderRetry, "no")
+		}
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.As(err, &r):
+		h.Set(call.HeaderOutcome, "running")
+		if r.Status != 0 {
+			h.Set(call.HeaderOutcome, "done")
+			h.Set(call.HeaderStatus, strconv.Itoa(r.Status))
+		}
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.As(err, &u):
+		h.Set(call.HeaderOutcome, "unknown")
+		if u.Deeper {
+			h.Set(call.HeaderRetry, "no")
+		}
+		status := http.StatusBadGateway
+		if errors.Is(err, context.DeadlineExceeded) {
+			status = http.StatusGatewayTimeout
+		}
+		http.Error(w, "outcome unknown: "+u.Reason, status)
+	default:
+		h.Set(call.HeaderOutcome, "unknown")
+		http.Error(w, "outcome unknown", http.StatusBadGateway)
+	}
+}
+
+// CopyAnswer passes an answer on as it arrives. A failure before the end
+// breaks the connection, so that a truncated answer never looks whole.
+func CopyAnswer(w http.ResponseWriter, a *http.Response) {
+	h := w.Header()
+	for k, v := range a.Header {
+		h[k] = v
+	}
+	if a.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	w.WriteHeader(a.StatusCode)
+	b := buffers.Get().(*[]byte)
+	defer buffers.Put(b)
+	c := http.NewResponseController(w)
+	for {
+		n, err := a.Body.Read(*b)
+		if n > 0 {
+			if _, e := w.Write((*b)[:n]); e != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if a.ContentLength < 0 {
+			_ = c.Flush()
+		}
+	}
+}
