Distribute the configuration between source and nodes

Cause: nodes had no way to get a configuration. Change: pkg/spread decides (start, floor, freshness, fetch, exchange partners, reads), internal/platform reads the source, internal/peer carries the calls over drpc, internal/distribution runs the duties. Figures: go test -race ./internal/distribution: four nodes in two zones over loopback TCP converge on two published versions. Nothing measured before.

--- /dev/null
+++ b/internal/distribution/distributor_test.go
@@ -0,0 +1,182 @@
+package distribution_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/distribution"
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/internal/platform"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// A source is a small configuration service.
+type source struct {
+	mu       sync.Mutex
+	revision uint64
+	values   map[string][]byte
+	at       map[string]uint64
+	down     bool
+}
+
+func (s *source) set(key string, b []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values, s.at = map[string][]byte{}, map[string]uint64{}
+	}
+	s.revision++
+	s.values[key], s.at[key] = b, s.revision
+}
+
+func (s *source) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *source) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	key := strings.TrimPrefix(q.URL.Path, "/v1/values/")
+	after, watch := q.URL.Query().Get("after"), q.URL.Query().Has("after")
+	wait, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		b, rev, down := s.values[key], s.at[key], s.down
+		s.mu.Unlock()
+		switch a, _ := strconv.ParseUint(after, 10, 64); {
+		case down:
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		case b == nil:
+			w.WriteHeader(http.StatusNotFound)
+			return
+		case !watch || rev > a:
+			w.Header().Set("Revision", strconv.FormatUint(rev, 10))
+			_, _ = w.Write(b)
+			return
+		case time.Now().After(end):
+			w.Header().Set("Revision", strconv.FormatUint(rev, 10))
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *source) publish(t *testing.T, version uint64, parts map[string]config.Document) {
+	t.Helper()
+	m, files, err := config.Publish(version, parts)
+	assert.NilError(t, err)
+	for d, b := range files {
+		s.set("parts/"+d, b)
+	}
+	s.set("manifest", m)
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func document(zones, n int) map[string]config.Document {
+	d := config.Document{
+		Defaults: &config.Values{
+			Slots: ptr(12), ColdSlots: ptr(2), ConnectionsPerSecond: ptr(100), QueuePerAccount: ptr(20),
+			CallTimeoutMs: ptr(1000), RetryPercent: ptr(10), MaxHeaderBytes: ptr(16384),
+			Rate: ptr(100.0), Burst: ptr(50.0),
+		},
+		Services: []config.Service{{Name: "entry"}},
+		Routes:   []config.Route{{Prefix: "/", Service: "entry"}},
+	}
+	for z := range zones {
+		d.Zones = append(d.Zones, config.AvailabilityZone{Name: fmt.Sprintf("z%d", z), Region: "r"})
+	}
+	for i := range n {
+		d.Hosts = append(d.Hosts, config.Host{ID: fmt.Sprintf("h%d", i), Service: "entry", Zone: fmt.Sprintf("z%d", i%zones)})
+	}
+	return map[string]config.Document{"all": d}
+}
+
+// start runs n nodes in the given number of zones and returns them.
+func start(t *testing.T, s *source, n, zones int) []*distribution.Distributor {
+	t.Helper()
+	web := httptest.NewServer(s)
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	t.Cleanup(func() { cancel(); all.Wait(); web.Close() })
+	list := hosts.List{Revision: 1}
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners = append(listeners, l)
+		list.Hosts = append(list.Hosts, hosts.Host{
+			ID: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%zones), Service: "entry",
+			ControlAddress: l.Addr().String(), State: hosts.Live,
+		})
+	}
+	b, err := toml.Marshal(list)
+	assert.NilError(t, err)
+	s.set("hosts", b)
+	var out []*distribution.Distributor
+	for i := range n {
+		c, p := platform.New(web.URL), &peer.Client{}
+		d := distribution.New(list.Hosts[i], nil, c, p, slog.New(slog.DiscardHandler))
+		v := &peer.Server{Exchange: d.HandleExchange, Push: d.HandlePush, Pull: d.HandlePull}
+		all.Go(func() { assert.Check(t, d.Run(ctx)); p.Close(); c.Close() })
+		all.Go(func() { assert.Check(t, v.Serve(ctx, listeners[i])) })
+		out = append(out, d)
+	}
+	return out
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 3000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+func allAt(nodes []*distribution.Distributor, v uint64) func() bool {
+	return func() bool {
+		for _, d := range nodes {
+			if c := d.Replica.Current(); c == nil || c.Version != v {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against nodes that read the source and do not converge over real
+// connections.
+func TestNodesConverge(t *testing.T) {
+	s := &source{}
+	s.publish(t, 1, document(2, 4))
+	nodes := start(t, s, 4, 2)
+	eventually(t, "version 1 everywhere", allAt(nodes, 1))
+	d := document(2, 4)
+	all := d["all"]
+	all.Zones[1].Out = true
+	s.publish(t, 2, map[string]config.Document{"all": all})
+	eventually(t, "version 2 everywhere", allAt(nodes, 2))
+	for _, d := range nodes {
+		assert.Assert(t, d.Replica.KeyedAllowed(time.Now()))
+	}
+}
--- /dev/null
+++ b/pkg/spread/freshness.go
@@ -0,0 +1,101 @@
+package spread
+
+import (
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// KeyedAllowed reports whether keyed calls may be accepted: the source
+// confirmed the version in force within FreshFor, or the source is out of
+// reach and every zone was reached within FreshFor. A withdrawn key therefore
+// works for at most FreshFor at a node that is cut off.
+func (r *Replica) KeyedAllowed(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keyedAllowed(now)
+}
+
+func (r *Replica) keyedAllowed(now time.Time) bool {
+	return r.ready && (r.confirmed(now) || r.reachedAll(now))
+}
+
+func (r *Replica) confirmed(now time.Time) bool {
+	return !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) <= FreshFor
+}
+
+// reachedAll reports whether information from every zone that is not out and
+// has a live host arrived within FreshFor and none of it was newer than the
+// version in force. The own zone counts as reached through another of its
+// hosts, or when it has no other.
+func (r *Replica) reachedAll(now time.Time) bool {
+	if r.list.Load() == nil || r.floor.Load() > r.held.snapshot.Version {
+		return false
+	}
+	if !r.conflictAt.IsZero() && now.Sub(r.conflictAt) <= FreshFor {
+		return false
+	}
+	for z, n := range r.liveZones {
+		if n == 0 {
+			continue
+		}
+		if c := r.held.snapshot.Zones[z]; c != nil && c.Out {
+			continue
+		}
+		if t, ok := r.reach[z]; !ok || now.Sub(t) > FreshFor {
+			return false
+		}
+	}
+	return true
+}
+
+// observeAges takes the ages of an answer, counted from the time the request
+// was sent.
+func (r *Replica) observeAges(from hosts.Host, s Summary, sentAt time.Time) {
+	if s.ConfirmedAgeMs >= 0 && r.held != nil {
+		t := sentAt.Add(-time.Duration(s.ConfirmedAgeMs) * time.Millisecond)
+		switch {
+		case s.Digest == r.held.snapshot.Digest:
+			r.confirm(t)
+		case s.Version == r.held.snapshot.Version && t.After(r.conflictAt):
+			r.conflictAt = t
+		}
+	}
+	if !s.Serving {
+		return
+	}
+	r.reached(from.Zone, sentAt)
+	for z, ms := range s.Reach {
+		// A peer's report of this node's own zone may rest on this node alone.
+		if z != r.Self.Zone && ms >= 0 {
+			r.reached(z, sentAt.Add(-time.Duration(ms)*time.Millisecond))
+		}
+	}
+}
+
+func (r *Replica) confirm(t time.Time) {
+	if t.After(r.confirmedAt) {
+		r.confirmedAt = t
+	}
+}
+
+func (r *Replica) reached(zone string, t time.Time) {
+	if _, known := r.liveZones[zone]; known && t.After(r.reach[zone]) {
+		r.reach[zone] = t
+	}
+}
+
+// reachAges returns the ages that still count.
+func (r *Replica) reachAges(now time.Time) map[string]int64 {
+	var m map[string]int64
+	for z, t := range r.reach {
+		if now.Sub(t) > FreshFor {
+			continue
+		}
+		if m == nil {
+			m = map[string]int64{}
+		}
+		m[z] = ageMs(now, t)
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/spread/hostlist.go
@@ -0,0 +1,101 @@
+package spread
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// A hostsTarget is a host list that is being fetched; revision 0 means none.
+type hostsTarget struct {
+	revision uint64
+	holders  []hosts.Host
+	pulledAt time.Time
+}
+
+func (t *hostsTarget) next(now time.Time) (Pull, bool) {
+	if t.revision == 0 || len(t.holders) == 0 || now.Before(t.pulledAt) {
+		return Pull{}, false
+	}
+	t.pulledAt = now.Add(pullAgain)
+	return Pull{To: t.holders[len(t.holders)-1], Request: PullRequest{HostsRevision: t.revision}}, true
+}
+
+func (t *hostsTarget) failed(id string, again time.Time) {
+	t.pulledAt = again
+	t.holders = slices.DeleteFunc(t.holders, func(h hosts.Host) bool { return h.ID == id })
+	if len(t.holders) == 0 {
+		t.revision = 0
+	}
+}
+
+func (r *Replica) observeHosts(from hosts.Host, revision uint64, a *Action) {
+	if l := r.list.Load(); revision == 0 || l != nil && revision <= l.Revision {
+		return
+	}
+	t := &r.hostsTarget
+	if revision > t.revision {
+		*t = hostsTarget{revision: revision}
+	}
+	if revision == t.revision && len(t.holders) < maxHolders {
+		t.holders = append(t.holders, from)
+	}
+	a.Fetch = true
+}
+
+// HostsBytes returns the bytes of the held host list, or nil if its revision
+// is below the given one.
+func (r *Replica) HostsBytes(revision uint64) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.list.Load(); l == nil || l.Revision < revision {
+		return nil
+	}
+	return r.hostsBytes
+}
+
+// OfferHosts takes the bytes of a host list. A list that is not newer than the
+// held one has no effect.
+func (r *Replica) OfferHosts(b []byte) (Action, error) {
+	var a Action
+	if len(b) > config.ValueLimit {
+		return a, BadHosts.New("host list has %d bytes, the limit is %d", len(b), config.ValueLimit)
+	}
+	l := &hosts.List{}
+	if err := toml.Unmarshal(b, l); err != nil {
+		return a, BadHosts.Wrap(err, "host list")
+	}
+	if l.Revision == 0 {
+		return a, BadHosts.New("host list has no revision")
+	}
+	p := hosts.NewPlacement(l)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.list.Load(); old != nil && l.Revision <= old.Revision {
+		return a, nil
+	}
+	now := r.Now()
+	first := r.list.Load() == nil
+	r.list.Store(l)
+	r.hostsBytes, r.placement = b, p
+	r.liveZones = map[string]int{}
+	for _, h := range l.Hosts {
+		if h.State == hosts.Live && h.ID != r.Self.ID {
+			r.liveZones[h.Zone]++
+		}
+	}
+	if r.hostsTarget.revision <= l.Revision {
+		r.hostsTarget = hostsTarget{}
+	}
+	if first {
+		r.reads.replan(r, now)
+		r.partners.replan(now)
+	}
+	a.event(HostsReplaced, l.Revision, "", "", nil)
+	r.settle(now, &a)
+	return a, nil
+}
--- /dev/null
+++ b/pkg/spread/replica.go
@@ -0,0 +1,347 @@
+// Package spread decides how one node takes part in the distribution of the
+// configuration: what it asks of the source and of its peers, which version it
+// puts in force, and whether it may still trust that version.
+//
+// A Replica has no sockets, goroutines or clocks. The same code runs in the
+// node, in the tests and in the experiments.
+package spread
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+const (
+	// FreshFor is how long a confirmation or a reached zone counts.
+	FreshFor = 3 * time.Second
+	// reachAfter is the age of the last confirmation from which summaries
+	// carry Reach. Half of FreshFor leaves time to reach every zone.
+	reachAfter = 1500 * time.Millisecond
+	// FloorWait is how long after the floor rose an older version refuses calls.
+	FloorWait = 3 * time.Second
+	// StartWait is the deadline after which a start is content with fewer answers.
+	StartWait = 3 * time.Second
+	// startFloorWait is how long a start waits for a version it knows of and
+	// cannot fetch. The node may have served that version before it restarted.
+	startFloorWait = 10 * time.Second
+	// startAnswers is the number of serving peers that a start asks for.
+	startAnswers = 3
+	// pushFanout is the number of hosts told at once of a new version.
+	pushFanout = 4
+)
+
+// A Replica is one node's share in the distribution. Its invariants:
+//
+//   - The version in force never falls, and is only ever a whole accepted one.
+//   - No version is in force before the start has finished.
+//   - The floor never falls.
+//
+// The exported fields are set before the first call. All methods may be called
+// at once from several goroutines.
+type Replica struct {
+	// Self is the node's own entry.
+	Self hosts.Host
+	// Now returns the current time with its monotonic reading.
+	Now func() time.Time
+	// Rand draws jitter and peers. It is used under the Replica's lock.
+	Rand *rand.Rand
+	// Seeds are control addresses to ask while no host list is held.
+	Seeds []string
+	// FleetHint is the number of hosts that may start at the same time. It
+	// spreads the first reads at the source while no host list is held.
+	FleetHint int
+	// Accept judges a version; config.Accept unless set.
+	Accept func(manifest []byte, parts map[string][]byte) (*config.Snapshot, error)
+
+	current atomic.Pointer[config.Snapshot]
+	list    atomic.Pointer[hosts.List]
+	floor   atomic.Uint64
+
+	mu      sync.Mutex
+	started time.Time
+	changed chan struct{} // closed when a version gets in force
+	held    *heldVersion  // highest accepted version
+	ready   bool
+	leaving bool
+
+	floorRose    time.Time
+	floorSettled uint64 // the floor for which waiting has been given up
+
+	sourceAnswered bool
+	confirmedAt    time.Time
+	conflictAt     time.Time
+	serving        map[string]bool // peers that answered this start
+	reach          map[string]time.Time
+	keyedStopped   bool
+
+	targets     []*target
+	hostsTarget hostsTarget
+	refused     map[string]bool // digests
+	refusals    uint64
+	staleSeen   string // digest of the last stale answer of the source
+
+	hostsBytes []byte
+	placement  *hosts.Placement
+	liveZones  map[string]int // live hosts by zone, without Self
+	partners   partners
+	reads      reads
+}
+
+// A heldVersion is an accepted version with the bytes that others pull.
+type heldVersion struct {
+	snapshot *config.Snapshot
+	manifest []byte
+	parts    map[string][]byte // by digest, exactly those of the manifest
+}
+
+// Start stores the deadlines of the start. It is called once, before any other
+// method that changes state.
+func (r *Replica) Start(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started = now
+	r.changed = make(chan struct{})
+	r.serving = map[string]bool{}
+	r.reach = map[string]time.Time{}
+	r.refused = map[string]bool{}
+	r.partners.start(now)
+	r.reads.start(r, now)
+	if r.Accept == nil {
+		r.Accept = config.Accept
+	}
+}
+
+// Current returns the version in force, or nil before the node is ready.
+func (r *Replica) Current() *config.Snapshot { return r.current.Load() }
+
+// Hosts returns the newest host list, or nil. The list must not be changed.
+func (r *Replica) Hosts() *hosts.List { return r.list.Load() }
+
+// Placement returns the roles derived from the host list, or nil.
+func (r *Replica) Placement() *hosts.Placement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.placement
+}
+
+// Floor returns the highest version known to be in force at any node.
+func (r *Replica) Floor() uint64 { return r.floor.Load() }
+
+// Changed returns a channel that is closed when the next version gets in force.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// SawVersion raises the floor to a version that another node works with.
+func (r *Replica) SawVersion(v uint64) {
+	if v <= r.floor.Load() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.raiseFloor(v, r.Now())
+}
+
+func (r *Replica) raiseFloor(v uint64, now time.Time) {
+	if v <= r.floor.Load() {
+		return
+	}
+	r.floor.Store(v)
+	r.floorRose = now
+}
+
+// Behind reports whether new calls have to wait for a newer version: the floor
+// is above the version in force and rose less than FloorWait ago. Before the
+// node is ready it is always behind.
+func (r *Replica) Behind(now time.Time) bool {
+	c := r.current.Load()
+	if c == nil {
+		return true
+	}
+	if r.floor.Load() <= c.Version {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.floorRose.Add(FloorWait))
+}
+
+// Ready reports whether the start has finished.
+func (r *Replica) Ready() bool { return r.current.Load() != nil }
+
+// Leave marks the node as leaving in its summaries.
+func (r *Replica) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Summary returns what the node tells its peers now.
+func (r *Replica) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	s := Summary{
+		Floor: r.floor.Load(), ConfirmedAgeMs: -1, Serving: r.ready,
+		Refused: r.refusals, Leaving: r.leaving,
+	}
+	if l := r.list.Load(); l != nil {
+		s.HostsRevision = l.Revision
+	}
+	if r.held != nil {
+		s.Version, s.Digest = r.held.snapshot.Version, r.held.snapshot.Digest
+	}
+	if !r.confirmedAt.IsZero() {
+		s.ConfirmedAgeMs = ageMs(now, r.confirmedAt)
+	}
+	if r.confirmedAt.IsZero() || now.Sub(r.confirmedAt) > reachAfter {
+		s.Reach = r.reachAges(now)
+	}
+	return s
+}
+
+// Message returns the Summary with the node as its sender.
+func (r *Replica) Message() Message {
+	return Message{From: r.Self.ID, Zone: r.Self.Zone, Address: r.Self.ControlAddress, Summary: r.Summary()}
+}
+
+// ageMs rounds up, so that an age never grows younger in transit.
+func ageMs(now, t time.Time) int64 {
+	return int64((now.Sub(t) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Observe takes a peer's summary. sentAt is the time at which this node sent
+// the request that the summary answers. It is zero for a summary that came
+// with a request of the peer: how long that request was on its way is unknown,
+// so its ages cannot be used.
+func (r *Replica) Observe(from hosts.Host, s Summary, sentAt time.Time) Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	var a Action
+	if from.ID == r.Self.ID {
+		return a
+	}
+	r.raiseFloor(s.Floor, now)
+	if s.Serving {
+		r.raiseFloor(s.Version, now)
+	}
+	r.observeVersion(from, s, &a)
+	r.observeHosts(from, s.HostsRevision, &a)
+	if !sentAt.IsZero() {
+		r.observeAges(from, s, sentAt)
+		r.partners.answered(from.ID)
+		if s.Serving && !r.ready {
+			r.serving[from.ID] = true
+		}
+	}
+	r.settle(now, &a)
+	return a
+}
+
+func (r *Replica) observeVersion(from hosts.Host, s Summary, a *Action) {
+	if s.Version == 0 || r.refused[s.Digest] {
+		return
+	}
+	if r.held != nil && s.Version <= r.held.snapshot.Version {
+		if s.Version == r.held.snapshot.Version && s.Digest != r.held.snapshot.Digest {
+			r.refuse(s.Version, s.Digest, from.ID, Conflict, nil, a)
+		}
+		return
+	}
+	r.want(s.Version, s.Digest, true, a).addHolder(from)
+}
+
+// Tick does what is due by time alone.
+func (r *Replica) Tick(now time.Time) Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var a Action
+	r.settle(now, &a)
+	a.Fetch = len(r.targets) > 0 || r.hostsTarget.revision > 0
+	return a
+}
+
+// settle draws the conclusions that depend on the time as well.
+func (r *Replica) settle(now time.Time, a *Action) {
+	r.settleStart(now, a)
+	if !r.ready {
+		return
+	}
+	v, f := r.held.snapshot.Version, r.floor.Load()
+	if f > v && f != r.floorSettled && !now.Before(r.floorRose.Add(FloorWait)) {
+		r.floorSettled = f
+		a.event(FloorGivenUp, v, "", "", nil)
+	}
+	if stopped := !r.keyedAllowed(now); stopped != r.keyedStopped {
+		r.keyedStopped = stopped
+		k := KeyedResumed
+		if stopped {
+			k = KeyedStopped
+		}
+		a.event(k, v, r.held.snapshot.Digest, "", nil)
+	}
+}
+
+// settleStart finishes the start once enough was heard. A version that is
+// known and not yet judged holds the start up for startFloorWait, because the
+// node may have served it before it restarted.
+func (r *Replica) settleStart(now time.Time, a *Action) {
+	if r.ready || r.held == nil {
+		return
+	}
+	if r.newerPending(now) || !r.heardEnough(now) {
+		return
+	}
+	v := r.held.snapshot.Version
+	r.ready = true
+	a.event(BecameReady, v, r.held.snapshot.Digest, "", nil)
+	r.putInForce(now, a)
+}
+
+// newerPending reports whether a start still waits for a newer version.
+func (r *Replica) newerPending(now time.Time) bool {
+	v := r.held.snapshot.Version
+	if r.floor.Load() > v && now.Before(r.floorRose.Add(startFloorWait)) {
+		return true
+	}
+	for _, t := range r.targets {
+		if t.version > v && now.Before(t.since.Add(startFloorWait)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) heardEnough(now time.Time) bool {
+	source := r.sourceAnswered || r.confirmed(now)
+	if !now.Before(r.started.Add(StartWait)) {
+		return source || len(r.serving) > 0
+	}
+	l := r.list.Load()
+	if l == nil {
+		return false
+	}
+	peers := 0
+	for _, n := range r.liveZones {
+		peers += n
+	}
+	return source && len(r.serving) >= min(startAnswers, peers)
+}
+
+// putInForce makes the held version the current one.
+func (r *Replica) putInForce(now time.Time, a *Action) {
+	s := r.held.snapshot
+	r.current.Store(s)
+	r.raiseFloor(s.Version, now)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	a.event(Accepted, s.Version, s.Digest, "", nil)
+}
