Report all faults of a configuration, explain values, list changes

Cause: operators need every fault at once, the origin of each value and the changes between two versions; a decoder that ignores case let Slots and slots stand in one table with the last one winning.

Change: add Explain and Diff; refuse keys spelled otherwise than the field, more than 256 parts or 4 MiB in all, and exceptions that leave a host with more ColdSlots than Slots. Faults come in the order of the manifest's parts.

--- a/pkg/config/accept.go
+++ b/pkg/config/accept.go
@@ -16,6 +16,8 @@
 	// defaultsIn is the name of the part that has the defaults.
 	defaultsIn string
 	snapshot   *Snapshot
+	// live is filled by checkExceptions.
+	live []liveException
 }
 
 type draftPart struct {
@@ -33,27 +35,40 @@
 		return nil, d.faults
 	}
 	d.snapshot.Version = m.Version
-	d.decode(m, parts)
+	d.decode(m, manifest, parts)
 	d.collect()
 	if d.whole {
 		d.checkReferences()
 		d.checkExceptions()
 	}
+	if len(d.faults.List) == 0 {
+		d.snapshot.index()
+		d.checkSlots()
+	}
+	d.faults.sort(m)
 	if err := d.faults.err(); err != nil {
 		return nil, err
 	}
-	d.snapshot.index()
 	return d.snapshot, nil
 }
 
 // decode reads the parts in the order of the manifest.
-func (d *draft) decode(m *Manifest, parts map[string][]byte) {
+func (d *draft) decode(m *Manifest, manifest []byte, parts map[string][]byte) {
+	total := len(manifest)
+	for _, b := range parts {
+		total += len(b)
+	}
+	if total > TotalLimit {
+		d.faults.add(ManifestPart, "", "%d bytes over all parts exceed the limit of %d", total, TotalLimit)
+		d.whole = false
+		return
+	}
 	listed := map[string]bool{}
-	for _, ref := range m.Parts {
+	for i, ref := range m.Parts {
 		listed[ref.Digest] = true
 		b, ok := parts[ref.Digest]
 		if !ok {
-			d.faults.add(ManifestPart, entry("Parts", ref.Name), "the part with digest %s is missing", ref.Digest)
+			d.faults.add(ManifestPart, entry("Parts", ref.Name, i), "the part with digest %s is missing", ref.Digest)
 			d.whole = false
 			continue
 		}
@@ -122,7 +137,7 @@
 func (d *draft) collectZones(p *draftPart) {
 	for i := range p.doc.Zones {
 		z := &p.doc.Zones[i]
-		key := entry("Zones", z.Name)
+		key := entry("Zones", z.Name, i)
 		checkTitle(d.faults, p.name, key+".Name", z.Name)
 		checkTitle(d.faults, p.name, key+".Region", z.Region)
 		addNamed(d.faults, p.name, key, d.snapshot.Zones, z.Name, z)
@@ -132,7 +147,7 @@
 func (d *draft) collectServices(p *draftPart) {
 	for i := range p.doc.Services {
 		s := &p.doc.Services[i]
-		key := entry("Services", s.Name)
+		key := entry("Services", s.Name, i)
 		checkIdentifier(d.faults, p.name, key+".Name", s.Name)
 		addNamed(d.faults, p.name, key, d.snapshot.Services, s.Name, s)
 	}
@@ -141,7 +156,7 @@
 func (d *draft) collectHosts(p *draftPart) {
 	for i := range p.doc.Hosts {
 		h := &p.doc.Hosts[i]
-		key := entry("Hosts", h.ID)
+		key := entry("Hosts", h.ID, i)
 		checkHostID(d.faults, p.name, key+".ID", h.ID)
 		addNamed(d.faults, p.name, key, d.snapshot.Hosts, h.ID, h)
 	}
@@ -150,7 +165,7 @@
 func (d *draft) collectRoutes(p *draftPart) {
 	for i := range p.doc.Routes {
 		r := &p.doc.Routes[i]
-		key := entry("Routes", r.Prefix)
+		key := entry("Routes", r.Prefix, i)
 		checkPrefix(d.faults, p.name, key+".Prefix", r.Prefix)
 		addNamed(d.faults, p.name, key, d.snapshot.routes, r.Prefix, r)
 	}
@@ -159,7 +174,7 @@
 func (d *draft) collectAccounts(p *draftPart) {
 	for i := range p.doc.Accounts {
 		a := &p.doc.Accounts[i]
-		key := entry("Accounts", a.Name)
+		key := entry("Accounts", a.Name, i)
 		checkIdentifier(d.faults, p.name, key+".Name", a.Name)
 		for _, k := range a.Keys {
 			if !isDigest(k) {
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -9,6 +9,14 @@
 // configuration service holds.
 const ValueLimit = 1 << 20
 
+// TotalLimit is the largest configuration in bytes, manifest and parts. It is
+// forty times the target's size and keeps Accept within a node's memory.
+const TotalLimit = 4 << 20
+
+// PartLimit is the largest number of parts. It bounds what a node fetches for
+// one manifest.
+const PartLimit = 256
+
 // A Manifest names the parts that make up one version of the configuration.
 type Manifest struct {
 	// Version is at least 1 and only rises from one publication to the next.
--- a/pkg/config/effective.go
+++ b/pkg/config/effective.go
@@ -1,29 +1,59 @@
 package config
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // A selector is what an exception matches; an empty field matches all.
 type selector struct {
 	service, zone, account string
 }
 
-// A layer holds the exceptions that set the same selectors, merged by what
-// they select.
-type layer struct {
-	service, zone, account bool
-	values                 map[selector]*Values
+// String names the fields that are set, as in "service desk in zone Surco".
+func (s selector) String() string {
+	return strings.TrimSpace(s.beyond(selector{}))
+}
+
+// beyond names the fields that are set in s and not in base.
+func (s selector) beyond(base selector) string {
+	t := ""
+	if s.service != base.service {
+		t += " service " + s.service
+	}
+	if s.zone != base.zone {
+		t += " in zone " + s.zone
+	}
+	if s.account != base.account {
+		t += " for account " + s.account
+	}
+	return t
+}
+
+func (s selector) compare(o selector) int {
+	return cmp.Or(cmp.Compare(s.service, o.service), cmp.Compare(s.zone, o.zone), cmp.Compare(s.account, o.account))
 }
 
-func (l *layer) rank() int {
+// rank is the number of fields set.
+func (s selector) rank() int {
 	n := 0
-	for _, b := range []bool{l.service, l.zone, l.account} {
-		if b {
+	for _, f := range []string{s.service, s.zone, s.account} {
+		if f != "" {
 			n++
 		}
 	}
 	return n
 }
 
+// A layer holds the exceptions that set the same selectors, merged by what
+// they select.
+type layer struct {
+	rank                   int
+	service, zone, account bool
+	values                 map[selector]*Values
+}
+
 // mask keeps the fields of s that the layer's exceptions set.
 func (l *layer) mask(s selector) selector {
 	if !l.service {
@@ -44,13 +74,7 @@
 
 // rank is the number of selectors set. The higher rank wins.
 func (e *Exception) rank() int {
-	n := 0
-	for _, s := range []string{e.Service, e.Zone, e.Account} {
-		if s != "" {
-			n++
-		}
-	}
-	return n
+	return e.selector().rank()
 }
 
 // matches reports whether the exception applies to the call.
@@ -81,7 +105,7 @@
 		})
 		if at < 0 {
 			at = len(layers)
-			layers = append(layers, layer{e.Service != "", e.Zone != "", e.Account != "", map[selector]*Values{}})
+			layers = append(layers, layer{e.rank(), e.Service != "", e.Zone != "", e.Account != "", map[selector]*Values{}})
 		}
 		v := layers[at].values[e.selector()]
 		if v == nil {
@@ -90,7 +114,7 @@
 		}
 		v.merge(&e.Values)
 	}
-	slices.SortStableFunc(layers, func(a, b layer) int { return a.rank() - b.rank() })
+	slices.SortStableFunc(layers, func(a, b layer) int { return a.rank - b.rank })
 	return layers
 }
 
--- /dev/null
+++ b/pkg/config/explain_test.go
@@ -0,0 +1,134 @@
+package config_test
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Guards against the values in force and their explanation to operators
+// going apart: both are compared with a plain search over the exceptions.
+func TestEffectiveAndExplainAgree(t *testing.T) {
+	names := func(t *rapid.T, label string, choices ...string) string {
+		return rapid.SampledFrom(choices).Draw(t, label)
+	}
+	accepted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		p := parts()
+		var e config.Document
+		for i := range rapid.IntRange(0, 5).Draw(rt, "exceptions") {
+			x := config.Exception{
+				Name: fmt.Sprintf("e%d", i), Reason: "r",
+				Service: names(rt, "service", "", "desk", "records"),
+				Zone:    names(rt, "zone", "", "Surco", "Medellín Centro"),
+				Account: names(rt, "account", "", "club-a"),
+				Retired: rapid.Bool().Draw(rt, "retired"),
+			}
+			v := rapid.IntRange(3, 100).Draw(rt, "value")
+			if rapid.Bool().Draw(rt, "timeout") || x.Account != "" {
+				x.Values.CallTimeoutMs = &v
+			} else {
+				x.Values.Slots = &v
+			}
+			e.Exceptions = append(e.Exceptions, x)
+		}
+		p["exceptions"] = e
+		s, err := accept(t, p)
+		if err != nil {
+			return
+		}
+		accepted++
+		service, zone, account := names(rt, "s", "", "desk", "records", "none"), names(rt, "z", "", "Surco"), names(rt, "a", "", "club-a", "club-b")
+		got := reflect.ValueOf(s.Effective(service, zone, account))
+		origins := s.Explain(service, zone, account)
+		assert.Equal(rt, len(origins), got.NumField())
+		for i, o := range origins {
+			assert.Equal(rt, o.Name, got.Type().Field(i).Name)
+			want, name, rank := reflect.ValueOf(s.Defaults).Field(i).Elem(), "", 0
+			for _, x := range e.Exceptions {
+				v := reflect.ValueOf(x.Values).Field(i)
+				n := 0
+				match := !x.Retired && !v.IsNil()
+				for _, pair := range [][2]string{{x.Service, service}, {x.Zone, zone}, {x.Account, account}} {
+					if pair[0] != "" {
+						n++
+						match = match && pair[0] == pair[1]
+					}
+				}
+				if match && n > rank {
+					want, name, rank = v.Elem(), x.Name, n
+				}
+			}
+			assert.Equal(rt, got.Field(i).Interface(), want.Interface())
+			assert.Equal(rt, fmt.Sprint(o.Value), fmt.Sprint(want.Interface()))
+			assert.Equal(rt, o.Exception, name)
+		}
+	})
+	assert.Assert(t, accepted > 0)
+}
+
+// Guards against a change that an operator is not shown, or one shown at the
+// wrong subject.
+func TestDiff(t *testing.T) {
+	before, err := accept(t, parts())
+	assert.NilError(t, err)
+	p := parts()
+	fleet, accounts, exceptions := p["fleet"], p["accounts"], p["exceptions"]
+	fleet.Defaults.Slots, fleet.Defaults.CallTimeoutMs = ptr(16), ptr(1500)
+	fleet.Zones[0].Out = true
+	fleet.Zones = append(fleet.Zones, config.AvailabilityZone{Name: "Ate", Region: "Lima"})
+	fleet.Services = append(fleet.Services, config.Service{Name: "sheets"})
+	fleet.Hosts[0].Zone = "Ate"
+	fleet.Hosts[1] = config.Host{ID: "sheets-1", Service: "sheets", Zone: "Ate", Out: true}
+	fleet.Routes[1].Open = false
+	fleet.Routes[2].Service = "sheets"
+	accounts.Accounts[0].Keys = []string{config.DigestOf([]byte("new"))}
+	accounts.Accounts[1] = config.ClientAccount{Name: "club-c"}
+	exceptions.Exceptions[0].Retired = true
+	exceptions.Exceptions[1].Values.Slots = ptr(9)
+	exceptions.Exceptions[2].Account = "club-a"
+	exceptions.Exceptions = append(exceptions.Exceptions[:3],
+		config.Exception{Name: "slow-files", Reason: "large scans", Service: "records", Account: "club-a", Values: config.Values{CallTimeoutMs: ptr(9000)}})
+	after, err := accept(t, map[string]config.Document{"fleet": fleet, "accounts": accounts, "exceptions": exceptions})
+	assert.NilError(t, err)
+
+	golden.Assert(t, text(config.Diff(before, after)), "diff.golden")
+	assert.Equal(t, len(config.Diff(after, after)), 0)
+	assert.Assert(t, len(config.Diff(nil, after)) > 0)
+}
+
+func text(changes []config.Change) string {
+	var b strings.Builder
+	for _, c := range changes {
+		fmt.Fprintf(&b, "%s %s | %s | %s -> %s\n", c.Kind, c.Name, c.What, c.Before, c.After)
+	}
+	return b.String()
+}
+
+// Guards against two keys being equal and against a key whose digest does
+// not find it.
+func TestNewKey(t *testing.T) {
+	key, digest, err := config.NewKey()
+	assert.NilError(t, err)
+	other, _, err := config.NewKey()
+	assert.NilError(t, err)
+	assert.Assert(t, key != other)
+	p := parts()
+	p["accounts"].Accounts[1].Keys = []string{digest}
+	s, err := accept(t, p)
+	assert.NilError(t, err)
+	a, ok := s.AccountOfKey(key)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Name, "club-b")
+	for _, k := range []string{"", other, digest, strings.Repeat("x", 300)} {
+		_, ok = s.AccountOfKey(k)
+		assert.Assert(t, !ok, "%q", k)
+	}
+}
--- a/pkg/config/faults.go
+++ b/pkg/config/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -33,7 +34,7 @@
 }
 
 // Faults lists every fault found in a configuration, in the order of the
-// manifest's parts. It unwraps to an error of type ErrRefused.
+// manifest's parts. errors.As finds an *errorx.Error of type ErrRefused in it.
 type Faults struct {
 	List []Fault
 }
@@ -57,6 +58,22 @@
 	f.List = append(f.List, Fault{Part: part, Key: key, Reason: fmt.Sprintf(reason, args...)})
 }
 
+// sort orders faults by part: the manifest, the parts in its order, and parts
+// that it does not list.
+func (f *Faults) sort(m *Manifest) {
+	order := map[string]int{ManifestPart: -1}
+	for i, p := range m.Parts {
+		order[p.Name] = i
+	}
+	at := func(part string) int {
+		if i, ok := order[part]; ok {
+			return i
+		}
+		return len(order)
+	}
+	slices.SortStableFunc(f.List, func(a, b Fault) int { return at(a.Part) - at(b.Part) })
+}
+
 // err returns f as an error, or nil when there is no fault.
 func (f *Faults) err() error {
 	if len(f.List) == 0 {
--- /dev/null
+++ b/pkg/config/fuzz_test.go
@@ -0,0 +1,48 @@
+package config_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Guards against a publication that stops every node at once by a panic, and
+// against two nodes that judge the same bytes differently.
+func FuzzAccept(f *testing.F) {
+	_, files, err := config.Publish(3, parts())
+	assert.NilError(f, err)
+	for _, b := range files {
+		f.Add(b, uint64(1))
+	}
+	f.Add([]byte("Zones.Name = 'x'"), uint64(0))
+	f.Add([]byte("[Defaults]\nRate = nan\nSlots = -9223372036854775808"), uint64(1<<63))
+	f.Add([]byte("Hosts = [{ID = 'a', id = 'b'}]\n[[Exceptions]]\n[Exceptions.Values]\nBurst = -inf"), uint64(2))
+	f.Fuzz(func(t *testing.T, part []byte, version uint64) {
+		manifest, files, err := config.Publish(version, parts())
+		if err != nil {
+			return
+		}
+		digest := config.DigestOf(part)
+		files[digest] = part
+		manifest = append(manifest, "\n[[Parts]]\nName = 'p'\nDigest = '"+digest+"'\n"...)
+		same(t, manifest, files)
+		same(t, part, files)
+	})
+}
+
+func same(t *testing.T, manifest []byte, files map[string][]byte) {
+	t.Helper()
+	a, first := config.Accept(manifest, files)
+	b, second := config.Accept(manifest, files)
+	assert.Equal(t, first == nil, a != nil)
+	assert.Equal(t, first == nil, second == nil)
+	if first != nil {
+		assert.Equal(t, first.Error(), second.Error())
+		return
+	}
+	assert.Equal(t, len(config.Diff(a, b)), 0)
+	a.Route("/files/private/1")
+	a.Explain("desk", "Surco", "club-a")
+}
--- a/pkg/config/manifest.go
+++ b/pkg/config/manifest.go
@@ -39,9 +39,12 @@
 	if len(m.Parts) == 0 {
 		f.add(ManifestPart, "Parts", "must name at least one part")
 	}
+	if len(m.Parts) > PartLimit {
+		f.add(ManifestPart, "Parts", "%d parts exceed the limit of %d", len(m.Parts), PartLimit)
+	}
 	names, digests := map[string]bool{}, map[string]bool{}
-	for _, p := range m.Parts {
-		key := entry("Parts", p.Name)
+	for i, p := range m.Parts {
+		key := entry("Parts", p.Name, i)
 		checkIdentifier(f, ManifestPart, key+".Name", p.Name)
 		if p.Name == ManifestPart {
 			f.add(ManifestPart, key+".Name", "is reserved for the manifest")
@@ -72,12 +75,14 @@
 	var one *toml.DecodeError
 	switch {
 	case err == nil:
+		checkSpelling(f, part, b)
 		return true
 	case errors.As(err, &strict):
 		for i := range strict.Errors {
 			row, _ := strict.Errors[i].Position()
 			f.add(part, strings.Join(strict.Errors[i].Key(), "."), "line %d: unknown key", row)
 		}
+		checkSpelling(f, part, b)
 		return true
 	case errors.As(err, &one):
 		row, _ := one.Position()
@@ -100,7 +105,11 @@
 	return true
 }
 
-// entry writes the key of one named entry of a list.
-func entry(list, name string) string {
+// entry writes the key of one entry of a list: its name, or its index if it
+// has none.
+func entry(list, name string, i int) string {
+	if name == "" {
+		return fmt.Sprintf("%s[%d]", list, i)
+	}
 	return fmt.Sprintf("%s[%q]", list, name)
 }
--- /dev/null
+++ b/pkg/config/spelling.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// fieldNames maps every field name of the published types in lower case to
+// its spelling.
+var fieldNames = namesOf(reflect.TypeFor[Manifest](), reflect.TypeFor[PartRef](), reflect.TypeFor[Document](),
+	reflect.TypeFor[Values](), reflect.TypeFor[AvailabilityZone](), reflect.TypeFor[Service](), reflect.TypeFor[Host](),
+	reflect.TypeFor[Route](), reflect.TypeFor[ClientAccount](), reflect.TypeFor[Exception]())
+
+func namesOf(types ...reflect.Type) map[string]string {
+	names := map[string]string{}
+	for _, t := range types {
+		for f := range t.Fields() {
+			names[strings.ToLower(f.Name)] = f.Name
+		}
+	}
+	return names
+}
+
+// checkSpelling refuses keys that differ from a field's name in case only.
+// The decoder takes them for the field, so Slots and slots in one table would
+// both be accepted and the last would win.
+func checkSpelling(f *Faults, part string, b []byte) {
+	var tree map[string]any
+	if err := toml.Unmarshal(b, &tree); err != nil {
+		f.add(part, "", "%s", strings.TrimPrefix(err.Error(), "toml: "))
+		return
+	}
+	checkTable(f, part, "", tree)
+}
+
+func checkTable(f *Faults, part, path string, table map[string]any) {
+	for _, key := range slices.Sorted(maps.Keys(table)) {
+		at := key
+		if path != "" {
+			at = path + "." + key
+		}
+		if name := fieldNames[strings.ToLower(key)]; name != "" && name != key {
+			f.add(part, at, "must be written %s", name)
+		}
+		switch v := table[key].(type) {
+		case map[string]any:
+			checkTable(f, part, at, v)
+		case []any:
+			for _, e := range v {
+				if t, ok := e.(map[string]any); ok {
+					checkTable(f, part, at, t)
+				}
+			}
+		}
+	}
+}
