experiment: add open-loop driver, checks and experiment files

Cause: the promises of the mesh and the measurements of the users need one repeatable load that runs against any fleet.

Change: a Spec in TOML gives deployment, seed, load, ingress and events. Schedule fixes all calls from the seed; Driver sends them open loop with latency from the scheduled time; Run carries out events, watches versions and judges P1, P4 to P12, P14 and P15.

Conclusion: ready to be wired to the node.

--- /dev/null
+++ b/internal/experiment/run_test.go
@@ -0,0 +1,186 @@
+package experiment
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/standin"
+)
+
+// A fakeMesh passes calls to one backend server and breaks a promise when
+// told to.
+type fakeMesh struct {
+	t           *testing.T
+	publication *Publication
+	backend     *standin.BackendServer
+	client      http.Client
+	mu          sync.Mutex
+	calls       atomic.Int64
+	// fault is applied to every tenth call: "", "double", "leak", "cross",
+	// "not-run", "open" or "revert".
+	fault string
+	last  []byte
+}
+
+func (m *fakeMesh) account(r *http.Request) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	for a, k := range m.publication.Keys {
+		if k == key {
+			return a
+		}
+	}
+	return ""
+}
+
+func (m *fakeMesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	faulty := m.calls.Add(1)%10 == 0
+	account := m.account(r)
+	open := strings.HasPrefix(r.URL.Path, "/ring-sheets/")
+	if account == "" && !open && m.fault != "open" {
+		w.Header().Set(standin.HeaderNotRun, "KeyUnknown")
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	path, _, _ := strings.Cut(r.URL.RequestURI(), "?nest=")
+	forward := func() (int, []byte) {
+		q, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+m.backend.Address()+path, bytes.NewReader(body))
+		assert.Check(m.t, err == nil)
+		q.GetBody = nil
+		q.Header.Set(standin.HeaderTrial, r.Header.Get(standin.HeaderTrial))
+		q.Header.Set(standin.HeaderIdempotencyKey, r.Header.Get(standin.HeaderIdempotencyKey))
+		q.Header.Set(standin.HeaderAccount, account)
+		if m.fault == "leak" && faulty {
+			q.Header.Set("Forwarded-Key", r.Header.Get("Authorization"))
+		}
+		a, err := m.client.Do(q)
+		if err != nil {
+			return http.StatusBadGateway, nil
+		}
+		defer func() { _ = a.Body.Close() }()
+		b, _ := io.ReadAll(a.Body)
+		return a.StatusCode, b
+	}
+	status, b := forward()
+	m.mu.Lock()
+	previous := m.last
+	m.last = b
+	m.mu.Unlock()
+	switch {
+	case !faulty:
+	case m.fault == "double":
+		forward()
+	case m.fault == "cross":
+		b = previous
+	case m.fault == "not-run":
+		w.Header().Set(standin.HeaderNotRun, "Draining")
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+// runFake runs a spec on a fake mesh of one host.
+func runFake(t *testing.T, spec *Spec, fault string) *Report {
+	t.Helper()
+	assert.NilError(t, spec.Check())
+	d, err := FindDeployment(spec.Deployment)
+	assert.NilError(t, err)
+	x := standin.NewExecutions()
+	b := standin.NewBackendServer("entry-desk-1", x)
+	b.WarmUp, b.Slots, b.Connections, b.ServiceTime, b.ConnectionCost = 0, 500, 0, 1, 0
+	assert.NilError(t, b.Start())
+	t.Cleanup(b.Close)
+	m := &fakeMesh{t: t, publication: NewPublication(d, spec.Seed), backend: b, fault: fault}
+	m.client.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
+	s := httptest.NewServer(m)
+	t.Cleanup(s.Close)
+	hosts := d.Hosts()[:2]
+	version := atomic.Uint64{}
+	version.Store(5)
+	f := &Fleet{
+		Hosts:   hosts,
+		Caller:  func(string) string { return s.Listener.Addr().String() },
+		Backend: func(string) string { return b.Address() },
+		Version: func(string) (uint64, int) {
+			if fault == "revert" && m.calls.Load() > 20 {
+				return 4, 1
+			}
+			return version.Load(), 1
+		},
+		BackendStats: func(string) standin.BackendStats { return b.Stats() },
+		SourceCounts: func() standin.Counts { return standin.Counts{} },
+		Executions:   x,
+		Publish:      func([]byte, map[string][]byte) error { version.Add(1); return nil },
+	}
+	m.publication.Version = 5
+	r := &Run{Spec: spec, Deployment: d, Fleet: f, Publication: m.publication}
+	report, err := r.Do(t.Context())
+	assert.NilError(t, err)
+	return report
+}
+
+func spec(load float64) *Spec {
+	return &Spec{Name: "t", Deployment: "lima", Seed: 7, RunMs: 700, Load: load, Intruders: 0.05}
+}
+
+// Guards against checks that pass whatever happens: each planted fault has to
+// be found by its check and by no other.
+func TestChecksFindPlantedFaults(t *testing.T) {
+	for _, c := range []struct{ fault, promise string }{
+		{"double", "P12"}, {"leak", "P7"}, {"cross", "P10"}, {"not-run", "P11"}, {"open", "P6"}, {"revert", "P1"},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			b := runFake(t, spec(0.4), c.fault).Broken()
+			assert.Equal(t, len(b), 1, "%+v", b)
+			assert.Equal(t, b[0].Promise, c.promise)
+		})
+	}
+}
+
+// Guards against a mesh without rates passing, and against refusals of the
+// driver's own making.
+func TestRunJudgesRates(t *testing.T) {
+	r := runFake(t, spec(0.4), "")
+	assert.NilError(t, r.Err())
+	assert.Equal(t, r.Served, 1.0, "%+v", r.Calls)
+	over := spec(0.1)
+	over.Loads = []AccountLoad{{Account: "club-sur", Load: 5}}
+	r = runFake(t, over, "")
+	assert.ErrorContains(t, r.Err(), "P9")
+	for _, a := range r.Accounts {
+		assert.Equal(t, a.Conforming, a.Name != "club-sur", a.Name)
+	}
+}
+
+// Guards against events that are not carried out or not measured, and against
+// work in a zone that is out, or for a withdrawn key, going unnoticed.
+func TestRunCarriesOutEvents(t *testing.T) {
+	s := spec(0.2)
+	s.RunMs = 5000
+	s.Events = []Event{{AtMs: 100, Do: Publish}, {AtMs: 200, Do: ZoneOut, Target: "Miraflores"}, {AtMs: 300, Do: WithdrawKey, Target: "vets"}}
+	r := runFake(t, s, "")
+	assert.Equal(t, len(r.Convergence), 3)
+	for _, c := range r.Convergence {
+		assert.Assert(t, c.Ms >= 0 && c.Judged)
+	}
+	broken := map[string]bool{}
+	for _, c := range r.Broken() {
+		broken[c.Promise] = true
+	}
+	assert.DeepEqual(t, broken, map[string]bool{"P5": true, "P8": true})
+	var text, js bytes.Buffer
+	assert.NilError(t, r.WriteText(&text))
+	assert.NilError(t, r.WriteJSON(&js))
+	assert.Assert(t, strings.Contains(text.String(), "BROKEN"))
+}
--- a/internal/standin/backend_serve.go
+++ b/internal/standin/backend_serve.go
@@ -113,6 +113,7 @@
 		t.fallOver()
 		return
 	}
+	began := time.Now()
 	trial := r.Header.Get(HeaderTrial)
 	d := b.serviceTime(trial)
 	if ms, err := strconv.Atoi(r.URL.Query().Get("ms")); err == nil {
@@ -131,6 +132,7 @@
 			return
 		}
 	}
+	e.RunUs = time.Since(began).Microseconds()
 	out := e.Encode()
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	_, _ = w.Write(out)
@@ -138,10 +140,8 @@
 
 // deadlineOf bounds a request by its deadline header, in milliseconds.
 func deadlineOf(r *http.Request) (context.Context, context.CancelFunc) {
-	for _, h := range []string{HeaderTimeout, HeaderBudget} {
-		if ms, err := strconv.Atoi(r.Header.Get(h)); err == nil {
-			return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
-		}
+	if ms, err := strconv.Atoi(r.Header.Get(HeaderTimeout)); err == nil {
+		return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 	}
 	return r.Context(), func() {}
 }
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -78,13 +78,15 @@
 // and against an echo that a caller cannot check.
 func TestBackendServerRecordsExecutions(t *testing.T) {
 	b := startBackend(t, warm)
-	b.Executions.Secrets = []string{"k-secret"}
+	b.Executions.AddSecret("k-secret")
 	c := client(t)
 	status, body := call(t, c, b, "/entries?size=1000", standin.HeaderTrial, "t-1", standin.HeaderAccount, "club",
 		standin.HeaderRequestID, "r-1", standin.HeaderIdempotencyKey, "i-1")
 	assert.Equal(t, status, http.StatusOK)
 	e, ok := standin.DecodeEcho(body)
 	assert.Assert(t, ok)
+	assert.Assert(t, e.RunUs > 0)
+	e.RunUs = 0
 	assert.DeepEqual(t, e, standin.Echo{Trial: "t-1", Account: "club", Path: "/entries", Host: "h-1", Size: 1000})
 	_, ok = standin.DecodeEcho(append(body[:500:500], body[501:]...))
 	assert.Assert(t, !ok)
--- a/internal/standin/echo.go
+++ b/internal/standin/echo.go
@@ -14,6 +14,8 @@
 	Account string
 	Path    string
 	Host    string
+	// RunUs is how long the backend server ran the request, in microseconds.
+	RunUs int64
 	// Nested is the status of the nested call, 0 without one.
 	Nested int
 	// Size is the length of the filler between head and checksum in bytes.
@@ -23,7 +25,7 @@
 // Encode returns head line, filler and checksum line.
 func (e Echo) Encode() []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s|%s|%s|%s|%d|%d\n", e.Trial, e.Account, e.Path, e.Host, e.Nested, e.Size)
+	fmt.Fprintf(&b, "%s|%s|%s|%s|%d|%d|%d\n", e.Trial, e.Account, e.Path, e.Host, e.RunUs, e.Nested, e.Size)
 	seed := xxhash.Sum64String(e.Trial)
 	for range e.Size {
 		seed = seed*6364136223846793005 + 1442695040888963407
@@ -47,11 +49,12 @@
 	}
 	head, filler, ok := bytes.Cut(body, []byte("\n"))
 	f := bytes.Split(head, []byte("|"))
-	if !ok || len(f) != 6 {
+	if !ok || len(f) != 7 {
 		return Echo{}, false
 	}
 	e := Echo{Trial: string(f[0]), Account: string(f[1]), Path: string(f[2]), Host: string(f[3])}
-	e.Nested, _ = strconv.Atoi(string(f[4]))
-	e.Size, _ = strconv.Atoi(string(f[5]))
+	e.RunUs, _ = strconv.ParseInt(string(f[4]), 10, 64)
+	e.Nested, _ = strconv.Atoi(string(f[5]))
+	e.Size, _ = strconv.Atoi(string(f[6]))
 	return e, e.Size == len(filler)
 }
--- a/internal/standin/executions.go
+++ b/internal/standin/executions.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -13,7 +14,6 @@
 	HeaderCall           = "Quetzaldock-Call"
 	HeaderNotRun         = "Quetzaldock-Not-Run"
 	HeaderTimeout        = "Quetzaldock-Timeout-Ms"
-	HeaderBudget         = "Quetzaldock-Budget-Ms"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderTrial carries the caller's own identification of a request. It is
 	// an ordinary header, so the mesh passes it on unchanged.
@@ -25,11 +25,8 @@
 // request counts as executed from the moment it takes a slot, even if it is
 // cancelled later.
 type Executions struct {
-	// Secrets are callers' keys; finding one in any header of a request
-	// counts as a leak. Set before the first request.
-	Secrets []string
-
 	mu       sync.Mutex
+	secrets  []string
 	requests map[string]int // by Quetzaldock-Request-Id and service path
 	trials   map[string]int // by Trial-Id
 	keys     map[string]int // by account and Idempotency-Key
@@ -46,9 +43,20 @@
 	}
 }
 
+// AddSecret makes every later request that carries the caller's key in any
+// header or in its query count as a leak.
+func (e *Executions) AddSecret(key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.secrets = append(slices.Clone(e.secrets), key)
+}
+
 // Inspect looks for a caller's key in an arriving request, run or not.
 func (e *Executions) Inspect(r *http.Request) {
-	if !e.leaked(r) {
+	e.mu.Lock()
+	secrets := e.secrets
+	e.mu.Unlock()
+	if !leaked(r, secrets) {
 		return
 	}
 	e.mu.Lock()
@@ -56,20 +64,20 @@
 	e.leaks++
 }
 
-func (e *Executions) leaked(r *http.Request) bool {
+func leaked(r *http.Request, secrets []string) bool {
 	if r.Header.Get("Authorization") != "" {
 		return true
 	}
 	for _, vs := range r.Header {
 		for _, v := range vs {
-			for _, s := range e.Secrets {
+			for _, s := range secrets {
 				if strings.Contains(v, s) {
 					return true
 				}
 			}
 		}
 	}
-	for _, s := range e.Secrets {
+	for _, s := range secrets {
 		if strings.Contains(r.URL.RawQuery, s) {
 			return true
 		}
