Keep the decoded manifest with faults

Cause: the check command names the file of each fault and needs to know which part has which digest, even if the manifest is faulty itself.

Change: Faults.Manifest holds the manifest as far as it was decoded; counts in error texts read well for one fault.

--- a/pkg/config/accept.go
+++ b/pkg/config/accept.go
@@ -34,7 +34,7 @@
 	if m == nil {
 		return nil, d.faults
 	}
-	d.snapshot.Version = m.Version
+	d.faults.Manifest, d.snapshot.Version = m, m.Version
 	d.decode(m, manifest, parts)
 	d.collect()
 	if d.whole {
--- a/pkg/config/faults.go
+++ b/pkg/config/faults.go
@@ -37,12 +37,15 @@
 // manifest's parts. errors.As finds an *errorx.Error of type ErrRefused in it.
 type Faults struct {
 	List []Fault
+	// Manifest is the manifest as far as it was decoded. It may be faulty, and
+	// is nil if it is not TOML of the right form.
+	Manifest *Manifest
 }
 
 // Error returns one line per fault.
 func (f *Faults) Error() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "configuration refused, %d faults", len(f.List))
+	fmt.Fprintf(&b, "configuration refused, faults: %d", len(f.List))
 	for _, e := range f.List {
 		fmt.Fprintf(&b, "\n%s: %s: %s", e.Part, e.Key, e.Reason)
 	}
@@ -51,7 +54,7 @@
 
 // Unwrap gives the list its errorx type.
 func (f *Faults) Unwrap() error {
-	return ErrRefused.New("%d faults", len(f.List))
+	return ErrRefused.New("faults: %d", len(f.List))
 }
 
 func (f *Faults) add(part, key, reason string, args ...any) {
