Add the commands check, explain, diff and key new

Cause: operators judge, explain and compare configurations before they publish them, and grant keys.

Change: internal/command holds logic and output, cmd/quetzaldock parses with flaggy. flaggy drops unknown flags silently or prints its help and exits, so the program refuses unknown commands and flags and missing values itself. Exit codes: 0, 1 for a refused configuration or a failure at work, 2 for a wrong command line or an unreadable file.

Conclusion: the commands decide only by config.Accept.

--- /dev/null
+++ b/cmd/quetzaldock/cli.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"io"
+	"runtime/debug"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"quetzaldock.example/quetzaldock/internal/command"
+)
+
+// A cli is the parser and what each of its commands runs.
+type cli struct {
+	parser *flaggy.Parser
+	out    io.Writer
+	// actions take the positional arguments after the command's name.
+	actions map[*flaggy.Subcommand]func(args []string) error
+}
+
+func newCLI(out io.Writer) *cli {
+	p := flaggy.NewParser("quetzaldock")
+	p.Description = "configuration and calls of a service mesh"
+	p.Version = version()
+	// flaggy prints its help and exits on what it does not know, and lets
+	// unknown flags pass otherwise; check refuses both with a typed error.
+	p.ShowHelpOnUnexpected = false
+	p.ShowCompletion = false
+	return &cli{parser: p, out: out, actions: map[*flaggy.Subcommand]func([]string) error{}}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// add attaches a command to parent, the first level if nil.
+func (c *cli) add(parent *flaggy.Subcommand, name, description string, action func(args []string) error) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	if parent == nil {
+		parent = &c.parser.Subcommand
+	}
+	parent.AttachSubcommand(s, 1)
+	if action != nil {
+		c.actions[s] = action
+	}
+	return s
+}
+
+// run parses args and runs the command they name.
+func (c *cli) run(args []string) error {
+	if !asksForHelp(args) {
+		if err := c.check(args); err != nil {
+			return err
+		}
+	}
+	if err := c.parser.ParseArgs(args); err != nil {
+		return command.ErrUsage.New("%s", err)
+	}
+	return c.actions[c.parser.TrailingSubcommand()](c.parser.TrailingArguments)
+}
+
+// asksForHelp reports whether flaggy prints its help or version and exits.
+func asksForHelp(args []string) bool {
+	for _, a := range args {
+		switch a {
+		case "--":
+			return false
+		case "-h", "--help", "-help", "--version":
+			return true
+		}
+	}
+	return false
+}
+
+// check refuses unknown commands and flags, and flags without a value.
+func (c *cli) check(args []string) error {
+	path, s := c.parser.Name, &c.parser.Subcommand
+	for len(s.Subcommands) > 0 {
+		if len(args) == 0 {
+			return command.ErrUsage.New("%s needs a command: %s", path, names(s))
+		}
+		child := find(s, args[0])
+		if child == nil {
+			return command.ErrUsage.New("%s has no command %q, only: %s", path, args[0], names(s))
+		}
+		path, s, args = path+" "+child.Name, child, args[1:]
+	}
+	for i := 0; i < len(args) && args[i] != "--"; i++ {
+		if !strings.HasPrefix(args[i], "-") {
+			continue
+		}
+		name, _, hasValue := strings.Cut(strings.TrimLeft(args[i], "-"), "=")
+		f := flag(s, name)
+		switch {
+		case f == nil:
+			return command.ErrUsage.New("%s has no flag %q", path, args[i])
+		case hasValue || isBool(f):
+		case i+1 == len(args):
+			return command.ErrUsage.New("%s: flag %q needs a value", path, args[i])
+		default:
+			i++
+		}
+	}
+	return nil
+}
+
+func names(s *flaggy.Subcommand) string {
+	var all []string
+	for _, child := range s.Subcommands {
+		all = append(all, child.Name)
+	}
+	return strings.Join(all, ", ")
+}
+
+func find(s *flaggy.Subcommand, name string) *flaggy.Subcommand {
+	for _, child := range s.Subcommands {
+		if child.Name == name {
+			return child
+		}
+	}
+	return nil
+}
+
+func flag(s *flaggy.Subcommand, name string) *flaggy.Flag {
+	for _, f := range s.Flags {
+		if f.HasName(name) {
+			return f
+		}
+	}
+	return nil
+}
+
+func isBool(f *flaggy.Flag) bool {
+	_, ok := f.AssignmentVar.(*bool)
+	return ok
+}
--- a/cmd/quetzaldock/main.go
+++ b/cmd/quetzaldock/main.go
@@ -2,5 +2,22 @@
 // its operators.
 package main
 
+import (
+	"fmt"
+	"os"
+
+	"quetzaldock.example/quetzaldock/internal/command"
+)
+
 func main() {
+	c := newCLI(os.Stdout)
+	c.addCheck()
+	c.addExplain()
+	c.addDiff()
+	c.addKey()
+	err := c.run(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "quetzaldock: %s\n", err)
+	}
+	os.Exit(command.ExitCode(err))
 }
--- /dev/null
+++ b/internal/command/diff.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Diff prints the changes from one publication to another, grouped by
+// subject. Each directory holds manifest.toml and parts/*.toml.
+func Diff(w io.Writer, dirs []string) error {
+	if len(dirs) != 2 {
+		return ErrUsage.New("diff needs two directories, OLD and NEW")
+	}
+	var versions [2]*config.Snapshot
+	for i, dir := range dirs {
+		p, err := readFolder(dir)
+		if err != nil {
+			return err
+		}
+		if versions[i], err = p.accept(w); err != nil {
+			return err
+		}
+	}
+	if err := printChanges(w, versions[0], versions[1]); err != nil {
+		return ErrWrite.New("%s", err)
+	}
+	return nil
+}
+
+func printChanges(w io.Writer, before, after *config.Snapshot) error {
+	changes := config.Diff(before, after)
+	if _, err := fmt.Fprintf(w, "version %d -> %d, %d changes\n", before.Version, after.Version, len(changes)); err != nil {
+		return err
+	}
+	subject := ""
+	for _, c := range changes {
+		if s := heading(c); s != subject {
+			subject = s
+			if _, err := fmt.Fprintf(w, "\n%s\n", s); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "  %s: %s\n", c.What, transition(c)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func heading(c config.Change) string {
+	if c.Name == "" {
+		return c.Kind
+	}
+	return c.Kind + " " + c.Name
+}
+
+// transition writes "(none)" where the thing is absent on one side.
+func transition(c config.Change) string {
+	return cmp.Or(c.Before, "(none)") + " -> " + cmp.Or(c.After, "(none)")
+}
