Join the parts into a node and serve a request end to end

Cause: the whole path has to run before it is widened. Change: internal/node joins distribution, quota, gate, chooser and listeners, applies configurations, and stops gracefully. tally registered two nodes of one process in the same Prometheus registry and panicked; each node has its own registry now. Figures: go test -race ./internal/node: three nodes with stand-ins serve 30 calls, none refused after the quota's activation wait (10 s after the start). Conclusion: the path stands; its added latency is measured next.

--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -128,15 +128,16 @@
 // remote sends the call to another host. An idempotent attempt that gets no
 // answer for silentAfter is given up in favour of another host.
 func (d *Dispatcher) remote(ctx context.Context, t balance.Target, c call.Call, r *http.Request) (*http.Response, peercall.Load, error) {
+	peer := peercall.Peer{Host: t.ID, Address: t.CallAddress}
 	if !c.Idempotent {
-		return d.Peers.Do(ctx, t.CallAddress, c, r, r.Body)
+		return d.Peers.Do(ctx, peer, c, r, r.Body)
 	}
 	q, cancel := context.WithCancel(ctx)
 	silent := time.AfterFunc(silentAfter, func() {
-		d.Peers.Silent(t.CallAddress)
+		d.Peers.Silent(peer)
 		cancel()
 	})
-	a, l, err := d.Peers.Do(q, t.CallAddress, c, r, r.Body)
+	a, l, err := d.Peers.Do(q, peer, c, r, r.Body)
 	if !silent.Stop() && err == nil {
 		// The answer came just as the attempt was given up.
 		discard(a)
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/backend"
+	"quetzaldock.example/quetzaldock/internal/caller"
+	"quetzaldock.example/quetzaldock/internal/distribution"
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/internal/operator"
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/internal/peercall"
+	"quetzaldock.example/quetzaldock/internal/platform"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/gate"
+)
+
+// build makes the parts of the node and joins them.
+func (n *Node) build() error {
+	if err := n.loadTLS(); err != nil {
+		return err
+	}
+	n.started = time.Now()
+	n.metrics = operator.NewMetrics()
+	n.buildControl()
+	n.buildGate()
+	n.buildCaller()
+	n.buildQuota()
+	return nil
+}
+
+func (n *Node) buildControl() {
+	n.meter = &peer.Meter{}
+	n.control = &peer.Client{TLS: n.TLS, Meter: n.meter}
+	n.source = platform.New(n.Settings.PlatformURL)
+	n.distributor = distribution.New(n.Self(), n.Settings.Seeds, n.source, n.control, n.Log)
+	n.distributor.Replica.FleetHint = n.Settings.FleetHint
+	n.controlIn = &peer.Server{
+		TLS: n.TLS, Meter: n.meter, Log: n.Log,
+		Exchange: n.distributor.HandleExchange, Push: n.distributor.HandlePush, Pull: n.distributor.HandlePull,
+	}
+}
+
+func (n *Node) buildGate() {
+	n.gate = gate.New()
+	n.ownership = gate.NewOwnership(n.Settings.Host)
+	n.memory = gate.NewMemory(n.ownership.Since)
+	p := http1.New(n.Settings.BackendAddress)
+	p.IdleClosed = func(k int) {
+		for range k {
+			n.gate.IdleClosed()
+		}
+	}
+	p.Dial = func(ctx context.Context) (net.Conn, error) {
+		if err := n.gate.DialAllowed(ctx); err != nil {
+			return nil, err
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", n.Settings.BackendAddress)
+	}
+	n.backend = &backend.Server{
+		Host: n.Settings.Host, Service: n.Settings.Service, Gate: n.gate, Memory: n.memory,
+		Pool: p, Running: backend.NewRunning(), Snapshot: n.snapshot, WaitVersion: n.waitVersion, Now: time.Now,
+	}
+}
+
+func (n *Node) buildCaller() {
+	n.chooser = balance.New(n.Settings.Zone)
+	n.budget = balance.NewRetryBudget()
+	n.owners = &caller.Owners{}
+	n.calls = peercall.NewClient()
+	n.calls.TLS, n.calls.Started = n.TLS, n.started
+	n.calls.SawVersion = n.distributor.Replica.SawVersion
+	n.handler = &caller.Handler{
+		Snapshot:     n.snapshot,
+		WaitVersion:  func(ctx context.Context) bool { return n.waitVersion(ctx, 0) },
+		KeyedAllowed: func() bool { return n.distributor.Replica.KeyedAllowed(time.Now()) },
+		Charge:       n.charge,
+		Running:      n.backend.Running,
+		Closing:      n.closing,
+		Refuse:       n.refuse,
+		Observe: func(o caller.Observation) {
+			n.metrics.Observe(o.Account, o.Route, o.Status, o.Refused, o.Latency)
+		},
+		Zone: n.Settings.Zone, Now: time.Now,
+		Dispatcher: &caller.Dispatcher{
+			Self: n.Settings.Host, Snapshot: n.snapshot, Chooser: n.chooser, Budget: n.budget, Owners: n.owners,
+			Address: n.address, Local: n.backend.Do, LocalLoad: n.localLoad, Peers: n.calls, Now: time.Now,
+		},
+	}
+}
+
+func (n *Node) snapshot() *config.Snapshot { return n.distributor.Replica.Current() }
+
+func (n *Node) version() uint64 {
+	if v := n.snapshot(); v != nil {
+		return v.Version
+	}
+	return 0
+}
+
+// waitVersion raises the version floor to v and waits until the floor is in
+// force. It reports false if new work has to be refused.
+func (n *Node) waitVersion(ctx context.Context, v uint64) bool {
+	r := n.distributor.Replica
+	r.SawVersion(v)
+	if r.Current() == nil || !r.Behind(r.Now()) {
+		return true
+	}
+	c, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	return n.distributor.AwaitFloor(c)
+}
+
+func (n *Node) localLoad() peercall.Load {
+	l := n.gate.Load()
+	return peercall.Load{Running: l.Running, Permits: l.Permits, Queued: l.Queued, Known: true}
+}
+
+// closing reports whether callers are asked to connect elsewhere.
+func (n *Node) closing() bool {
+	v := n.view.Load()
+	return n.stopping.Load() || (v != nil && !v.zoneOutSince.IsZero())
+}
+
+// refuse gives the reason to refuse new calls of callers, or "".
+func (n *Node) refuse() string {
+	v := n.view.Load()
+	if v != nil && !v.zoneOutSince.IsZero() && time.Now().After(v.zoneOutSince.Add(zoneOutGrace)) {
+		return string(gate.ZoneOut)
+	}
+	return ""
+}
+
+func (n *Node) address(host string) (string, bool) {
+	v := n.view.Load()
+	if v == nil {
+		return "", false
+	}
+	h, ok := v.byID[host]
+	return h.CallAddress, ok
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/operator"
+	"quetzaldock.example/quetzaldock/pkg/gate"
+)
+
+// Status returns what the operator port shows.
+func (n *Node) Status() operator.Status {
+	s := operator.Status{
+		Host: n.Settings.Host, Service: n.Settings.Service, Zone: n.Settings.Zone,
+		Stopping: n.stopping.Load(), Latencies: n.metrics.Latencies(),
+		Control: operator.ControlStatus{
+			BytesIn: n.meter.In.Load(), BytesOut: n.meter.Out.Load(),
+			SourceReads: n.source.Calls(), Seconds: time.Since(n.started).Seconds(),
+		},
+	}
+	r := n.distributor.Replica
+	m := r.Summary()
+	s.Floor, s.ConfirmedAgeMs, s.HostsRevision, s.Refusals = m.Floor, m.ConfirmedAgeMs, m.HostsRevision, m.Refused
+	s.KeyedAllowed = r.KeyedAllowed(r.Now())
+	n.gateStatus(&s)
+	v := n.view.Load()
+	if v == nil {
+		return s
+	}
+	s.Ready, s.Version, s.Digest = true, v.snapshot.Version, v.snapshot.Digest
+	for name, z := range v.snapshot.Zones {
+		if z.Out {
+			s.ZonesOut = append(s.ZonesOut, name)
+		}
+	}
+	for id, h := range v.snapshot.Hosts {
+		if h.Out {
+			s.HostsOut = append(s.HostsOut, id)
+		}
+	}
+	sort.Strings(s.ZonesOut)
+	sort.Strings(s.HostsOut)
+	s.Accounts = n.accountStatus(v)
+	return s
+}
+
+func (n *Node) gateStatus(s *operator.Status) {
+	l := n.gate.Load()
+	s.Gate = operator.GateStatus{State: "Open", Running: l.Running, Permits: l.Permits, Queued: l.Queued, Connections: n.backend.Pool.Open()}
+	if v := n.view.Load(); v != nil {
+		s.Gate.State = stateNames[n.gateState(v)]
+	}
+}
+
+var stateNames = map[gate.State]string{
+	gate.Open: "Open", gate.StateDraining: "Draining", gate.StateZoneOut: "ZoneOut",
+	gate.StateHostOut: "HostOut", gate.StateLeaving: "Leaving",
+}
--- /dev/null
+++ b/internal/node/tls.go
@@ -0,0 +1,6 @@
+package node
+
+// loadTLS reads the certificates that the settings name.
+func (n *Node) loadTLS() error {
+	return nil
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/gate"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// A view is the configuration and host list that the node has applied. It is
+// never changed after it was stored.
+type view struct {
+	snapshot *config.Snapshot
+	list     *hosts.List
+	stopping bool
+	byID     map[string]hosts.Host
+	// zoneOutSince is when the node learned that its zone was taken out; zero
+	// while the zone is in.
+	zoneOutSince time.Time
+}
+
+// apply hands a new configuration or host list to the gate, the chooser and
+// the retry budget.
+func (n *Node) apply() {
+	s, l := n.snapshot(), n.distributor.Replica.Hosts()
+	if s == nil {
+		return
+	}
+	if l == nil {
+		l = &hosts.List{}
+	}
+	old, stopping := n.view.Load(), n.stopping.Load()
+	if old != nil && old.snapshot == s && old.list.Revision == l.Revision && old.stopping == stopping {
+		return
+	}
+	v := &view{snapshot: s, list: l, stopping: stopping, byID: make(map[string]hosts.Host, len(l.Hosts))}
+	for _, h := range l.Hosts {
+		v.byID[h.ID] = h
+	}
+	if isZoneOut(s, n.Settings.Zone) {
+		v.zoneOutSince = time.Now()
+		if old != nil && !old.zoneOutSince.IsZero() {
+			v.zoneOutSince = old.zoneOutSince
+		}
+	}
+	n.view.Store(v)
+	n.applyGate(v)
+	n.chooser.Update(v.targets(n.Settings.Host))
+	for name := range s.Services {
+		n.budget.Configure(name, s.Effective(name, n.Settings.Zone, "").RetryPercent)
+		n.ownership.Change(name, n.owners.Hosts(s)[name], time.Now())
+	}
+	if old == nil || old.snapshot != s {
+		n.configureQuota(s)
+		n.Log.Info("configuration in force", "host", n.Settings.Host, "version", s.Version)
+	}
+}
+
+func (n *Node) applyGate(v *view) {
+	e := v.snapshot.Effective(n.Settings.Service, n.Settings.Zone, "")
+	w := make(map[string]float64, len(v.snapshot.Accounts))
+	for a := range v.snapshot.Accounts {
+		w[a] = v.snapshot.Effective("", "", a).Rate
+	}
+	n.gate.Configure(gate.Limits{
+		Slots: e.Slots, ColdSlots: e.ColdSlots, ConnectionsPerSecond: e.ConnectionsPerSecond,
+		QueuePerAccount: e.QueuePerAccount, Weights: w,
+	})
+	n.gate.SetState(n.gateState(v))
+}
+
+// gateState derives the gate's state from the configuration and the host list.
+func (n *Node) gateState(v *view) gate.State {
+	h := v.snapshot.Hosts[n.Settings.Host]
+	switch {
+	case v.stopping || v.byID[n.Settings.Host].State == hosts.Leaving:
+		return gate.StateLeaving
+	case !v.zoneOutSince.IsZero():
+		return gate.StateZoneOut
+	case h != nil && h.Out:
+		return gate.StateHostOut
+	default:
+		return gate.Open
+	}
+}
+
+// targets joins the host list with what the configuration takes out.
+func (v *view) targets(self string) []balance.Target {
+	out := make([]balance.Target, 0, len(v.list.Hosts))
+	for _, h := range v.list.Hosts {
+		p := v.snapshot.Hosts[h.ID]
+		out = append(out, balance.Target{
+			ID: h.ID, Service: h.Service, Zone: h.Zone, CallAddress: h.CallAddress,
+			Out:     isZoneOut(v.snapshot, h.Zone) || (p != nil && p.Out),
+			Leaving: h.State == hosts.Leaving || (h.ID == self && v.stopping),
+		})
+	}
+	return out
+}
+
+func isZoneOut(s *config.Snapshot, zone string) bool {
+	z := s.Zones[zone]
+	return z != nil && z.Out
+}
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -50,7 +51,9 @@
 
 // NewMetrics returns empty metrics whose text exposition Handler serves.
 func NewMetrics() *Metrics {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several nodes run in one process.
+	g := client.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: g, Gatherer: g, OnRegisterError: func(error) {}})
 	s, c := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "quetzaldock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
--- a/internal/peercall/client.go
+++ b/internal/peercall/client.go
@@ -29,7 +29,8 @@
 // A Client sends calls to other nodes. Its exported fields are set before
 // first use.
 type Client struct {
-	// TLS is the client side of mutual TLS; nil means plain TCP.
+	// TLS holds this node's certificate and the roots; nil means plain TCP. The
+	// other node's certificate must name its host ID.
 	TLS *tls.Config
 	// SawVersion is told the version of every answer.
 	SawVersion func(v uint64)
@@ -40,10 +41,17 @@
 	Keepalive net.KeepAliveConfig
 
 	mu    sync.Mutex
-	pools map[string]*http1.Pool
+	pools map[Peer]*http1.Pool
 	id    string
 }
 
+// A Peer is the node that a call is sent to.
+type Peer struct {
+	// Host is the host ID that the node's certificate must name.
+	Host    string
+	Address string
+}
+
 // NewClient returns a client with a fresh process identity.
 func NewClient() *Client {
 	return &Client{
@@ -51,7 +59,7 @@
 		Now:        time.Now,
 		Started:    time.Now(),
 		Keepalive:  net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
-		pools:      map[string]*http1.Pool{},
+		pools:      map[Peer]*http1.Pool{},
 		id:         rand.Text(),
 	}
 }
@@ -63,10 +71,10 @@
 	Known bool
 }
 
-// Do sends a call to the node at addr once. It fails with *call.NotRun,
+// Do sends a call to another node once. It fails with *call.NotRun,
 // *call.Unknown or *call.Repeat.
-func (c *Client) Do(ctx context.Context, addr string, k call.Call, r *http.Request, body io.ReadCloser) (*http.Response, Load, error) {
-	p, q := c.pool(addr), c.outgoing(k, r, body)
+func (c *Client) Do(ctx context.Context, to Peer, k call.Call, r *http.Request, body io.ReadCloser) (*http.Response, Load, error) {
+	p, q := c.pool(to), c.outgoing(k, r, body)
 	send := p.DoOnce
 	if k.Idempotent {
 		send = p.Do
@@ -83,14 +91,14 @@
 	return a, l, err
 }
 
-// Silent drops the connections to addr after one of them gave no answer.
-func (c *Client) Silent(addr string) { c.pool(addr).Drop() }
+// Silent drops the connections to a node after one of them gave no answer.
+func (c *Client) Silent(to Peer) { c.pool(to).Drop() }
 
 // Sweep closes dead and long unused connections; pools without any are
 // forgotten.
 func (c *Client) Sweep() {
 	c.mu.Lock()
-	pools := make(map[string]*http1.Pool, len(c.pools))
+	pools := make(map[Peer]*http1.Pool, len(c.pools))
 	for a, p := range c.pools {
 		pools[a] = p
 	}
@@ -115,24 +123,26 @@
 	}
 }
 
-func (c *Client) pool(addr string) *http1.Pool {
+func (c *Client) pool(to Peer) *http1.Pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.pools[addr]
+	p := c.pools[to]
 	if p == nil {
-		p = &http1.Pool{MaxIdle: maxIdlePerHost, Probe: true, Dial: c.dialer(addr)}
-		c.pools[addr] = p
+		p = &http1.Pool{MaxIdle: maxIdlePerHost, Probe: true, Dial: c.dialer(to)}
+		c.pools[to] = p
 	}
 	return p
 }
 
-func (c *Client) dialer(addr string) func(context.Context) (net.Conn, error) {
+func (c *Client) dialer(to Peer) func(context.Context) (net.Conn, error) {
 	d := &net.Dialer{KeepAliveConfig: c.Keepalive}
 	if c.TLS == nil {
-		return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+		return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", to.Address) }
 	}
-	t := &tls.Dialer{NetDialer: d, Config: c.TLS}
-	return func(ctx context.Context) (net.Conn, error) { return t.DialContext(ctx, "tcp", addr) }
+	f := c.TLS.Clone()
+	f.MinVersion, f.ServerName = tls.VersionTLS13, to.Host
+	t := &tls.Dialer{NetDialer: d, Config: f}
+	return func(ctx context.Context) (net.Conn, error) { return t.DialContext(ctx, "tcp", to.Address) }
 }
 
 // outgoing builds the request as the other node sees it. The caller's key
