Test limits, names and clean paths of configurations and peers

Cause: on a scratch copy, 7 of 26 changes of one condition went unnoticed by the tests of config, tlsfiles and cmd: the limits of exceptions and parts, the length and first character of names, the stored time of the next look at files, the exact comparison of a peer's host ID, and one in explain.go that changes nothing for an accepted configuration.

Change: tests for the first six, a property test that compares a found route with the route of the decoded and cleaned path, and a fixed seed for property tests.

Conclusion: no fault of the code was found.

--- a/internal/tlsfiles/identity_test.go
+++ b/internal/tlsfiles/identity_test.go
@@ -101,6 +101,8 @@
 		{"server of another authority", desk.Server(), issue(t, other, "desk-2").Client("desk-1"), "unknown authority"},
 		{"client without certificate", desk.Server(), anonymous, "didn't provide a certificate"},
 		{"another host", desk.Server(), issue(t, a, "desk-2").Client("desk-3"), "not desk-3"},
+		{"any host", issue(t, a, "*").Server(), issue(t, a, "desk-2").Client("desk-1"), "not desk-1"},
+		{"host in other case", issue(t, a, "DESK-1").Server(), issue(t, a, "desk-2").Client("desk-1"), `is for host "DESK-1"`},
 		{"expired server", desk.Server(), later(issue(t, a, "desk-2")).Client("desk-1"), "expired"},
 		{"expired client", later(issue(t, a, "desk-1")).Server(), issue(t, a, "desk-2").Client("desk-1"), "expired"},
 		{"TLS 1.2", desk.Server(), old, "protocol version"},
@@ -174,6 +176,12 @@
 	assert.Assert(t, clientErr != nil, "the former authority is still trusted")
 	_, serverErr, clientErr = connect(t, issue(t, next, "desk-2").Server(), h.Client("desk-2"))
 	assert.NilError(t, errors.Join(serverErr, clientErr))
+
+	_, err = a.Write(dir, "desk-1")
+	assert.NilError(t, err)
+	h.Check(h.now)
+	_, serverErr, clientErr = connect(t, server, issue(t, next, "desk-2").Client("desk-1"))
+	assert.NilError(t, errors.Join(serverErr, clientErr), "the look did not move the time of the next one")
 }
 
 // Guards against a half-written, mismatched, expired or missing file that
--- a/pkg/config/accept_test.go
+++ b/pkg/config/accept_test.go
@@ -1,13 +1,25 @@
 package config_test
 
 import (
+	"flag"
+	"net/url"
+	"path"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"quetzaldock.example/quetzaldock/pkg/config"
 )
 
+// init fixes the seed of property tests; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
 func ptr[T any](v T) *T { return &v }
 
 func defaults() *config.Values {
@@ -110,3 +122,34 @@
 		}
 	}
 }
+
+// Guards against a request that passes an open route and reaches what a
+// closed one protects: a route found must be the one of the path that a
+// backend server reads after decoding and cleaning.
+func TestRouteIsThatOfTheCleanPath(t *testing.T) {
+	s, err := accept(t, parts())
+	assert.NilError(t, err)
+	found := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
+			"/", "/", "/files", "/private", "files", "private", "x", ".", "..", "%2e", "%2F", "%5C", "%70rivate", "%25", "\\", ";", "//",
+		}), 1, 8).Draw(rt, "pieces")
+		escaped := strings.Join(pieces, "")
+		r, ok := s.Route(escaped)
+		if !ok {
+			return
+		}
+		found++
+		plain, err := url.PathUnescape(escaped)
+		assert.NilError(rt, err)
+		clean := path.Clean(strings.ReplaceAll(plain, "\\", "/"))
+		want := "/"
+		for _, prefix := range []string{"/files", "/files/private"} {
+			if clean == prefix || strings.HasPrefix(clean, prefix+"/") {
+				want = prefix
+			}
+		}
+		assert.Equal(rt, r.Prefix, want, "%q", escaped)
+	})
+	assert.Assert(t, found > 0)
+}
--- a/pkg/config/faults_test.go
+++ b/pkg/config/faults_test.go
@@ -67,6 +67,10 @@
 		{`fleet: Hosts["desk-1"].Zone: there is no zone "Ate"`, func(f, _, _ *doc) { f.Hosts[0].Zone = "Ate" }},
 		{`fleet: Hosts["Desk 1"].ID: must be a DNS label`, func(f, _, _ *doc) { f.Hosts[0].ID = "Desk 1" }},
 		{`fleet: Services["x\r\ny"].Name: must be 1 to 63 ASCII`, func(f, _, _ *doc) { f.Services = append(f.Services, config.Service{Name: "x\r\ny"}) }},
+		{`fleet: Services["-x"].Name: must be 1 to 63 ASCII`, func(f, _, _ *doc) { f.Services = append(f.Services, config.Service{Name: "-x"}) }},
+		{`fleet: Services["` + strings.Repeat("x", 64) + `"].Name: must be 1 to 63 ASCII`, func(f, _, _ *doc) {
+			f.Services = append(f.Services, config.Service{Name: strings.Repeat("x", 64)})
+		}},
 		{`fleet: Zones[2].Name: must be 1 to 63 bytes`, func(f, _, _ *doc) { f.Zones = append(f.Zones, config.AvailabilityZone{Region: "Lima"}) }},
 		{`fleet: Routes["/files"].Service: there is no service "file"`, func(f, _, _ *doc) { f.Routes[1].Service = "file" }},
 		{`fleet: Routes["/a/../b"].Prefix: must be a path`, func(f, _, _ *doc) { f.Routes[1].Prefix = "/a/../b" }},
@@ -100,6 +104,26 @@
 	assert.Equal(t, len(faultsOf(t, func(_, _, e *config.Document) { e.Exceptions[3].Service = "gone" })), 0)
 }
 
+// Guards against a publication that costs every node more than it can bear:
+// the check of exceptions in pairs, and a fetch per part.
+func TestAcceptBoundsExceptionsAndParts(t *testing.T) {
+	got := faultsOf(t, func(_, _, e *config.Document) {
+		for i := range 997 {
+			x := e.Exceptions[3]
+			x.Name = fmt.Sprintf("x%d", i)
+			e.Exceptions = append(e.Exceptions, x)
+		}
+	})
+	assert.DeepEqual(t, got, []string{"manifest: Exceptions: 1001 exceptions exceed the limit of 1000"})
+
+	many := parts()
+	for i := range config.PartLimit - 2 {
+		many[fmt.Sprintf("part-%d", i)] = config.Document{Services: []config.Service{{Name: fmt.Sprintf("s%d", i)}}}
+	}
+	_, err := accept(t, many)
+	assert.DeepEqual(t, lines(t, err), []string{"manifest: Parts: 257 parts exceed the limit of 256"})
+}
+
 // Guards against an operator having to publish once per fault.
 func TestAcceptReportsAllFaultsInOrderOfTheManifest(t *testing.T) {
 	got := faultsOf(t, func(fleet, accounts, exceptions *config.Document) {
