experiment: compose fleets, add load and demo

Cause: experiments ran against a fake mesh only.

Change: StartFleet runs platform, backend servers and nodes with mutual TLS in one process, with fault proxies per dialling zone when an experiment asks for them. Callers stay away from hosts that close the connection or take none.

--- a/internal/experiment/driver.go
+++ b/internal/experiment/driver.go
@@ -28,8 +28,12 @@
 	// answering.
 	maxOutstanding = 20_000
 	idlePerHost    = 64
-	intruderKey    = "trial-intruder"
-	entryBody      = "fields=of,an,entry"
+	// refusedAvoid and closeAvoid are how long callers stay away from a host
+	// that took no connection, or that asked them to connect elsewhere.
+	refusedAvoid = 2 * time.Second
+	closeAvoid   = time.Minute
+	intruderKey  = "trial-intruder"
+	entryBody    = "fields=of,an,entry"
 )
 
 // A Driver sends scheduled calls as the callers of the mesh.
@@ -45,6 +49,7 @@
 	mu        sync.Mutex
 	keys      map[string]string // by account
 	barred    map[string]bool   // accounts without a valid key
+	avoid     map[string]time.Time
 	sent      atomic.Int64
 	answered  atomic.Int64
 	skipped   atomic.Int64
@@ -55,7 +60,7 @@
 	v := &Driver{
 		Fleet: f, Deployment: d, Arrivals: arrivals, Seed: seed,
 		transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, IdleConnTimeout: 30 * time.Second},
-		keys:      map[string]string{}, barred: map[string]bool{},
+		keys:      map[string]string{}, barred: map[string]bool{}, avoid: map[string]time.Time{},
 	}
 	for a, k := range keys {
 		v.keys[a] = k
@@ -85,6 +90,35 @@
 	return v.keys[account], v.barred[account]
 }
 
+// pick returns the host to call in place of index host: callers stay away for a
+// while from hosts that asked them to connect elsewhere or took no connection.
+func (v *Driver) pick(host int) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	for i := range v.Fleet.Hosts {
+		id := v.Fleet.Hosts[(host+i)%len(v.Fleet.Hosts)].ID
+		if !now.Before(v.avoid[id]) {
+			return id
+		}
+	}
+	return v.Fleet.Hosts[host].ID
+}
+
+func (v *Driver) stayAway(host string, d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.avoid[host] = time.Now().Add(d)
+}
+
+// Return makes callers use all hosts again, as the lists they get their
+// addresses from do once a zone or host is back in.
+func (v *Driver) Return() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.avoid)
+}
+
 // Since is the time since the start of the warm-up.
 func (v *Driver) Since() time.Duration { return time.Since(v.Start) }
 
@@ -146,7 +180,7 @@
 	d := v.Deployment
 	route, account := &d.Routes[a.Route], d.Accounts[a.Account].Name
 	key, barred := v.key(account)
-	r.Arrival, r.Class, r.Account, r.Ingress = a, route.Class, account, v.Fleet.Hosts[host].ID
+	r.Arrival, r.Class, r.Account, r.Ingress = a, route.Class, account, v.pick(host)
 	r.Charged, r.Keyed, r.Entitled = !route.Open, route.NeedsKey(), route.Open || !barred
 	if a.Intruder {
 		key, r.Charged, r.Entitled = intruderKey, false, false
@@ -183,8 +217,14 @@
 	if err != nil {
 		r.Done = v.Since()
 		r.classifyError(err)
+		if r.Outcome == Refused {
+			v.stayAway(r.Ingress, refusedAvoid)
+		}
 		return
 	}
+	if a.Close {
+		v.stayAway(r.Ingress, closeAvoid)
+	}
 	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(a.Body)
 	r.Done = v.Since()
--- a/internal/experiment/events.go
+++ b/internal/experiment/events.go
@@ -85,6 +85,9 @@
 	default:
 		p.Touch()
 	}
+	if e.Do == ZoneIn || e.Do == HostIn {
+		then = s.driver.Return
+	}
 	manifest, parts, err := p.Encode()
 	if err != nil {
 		return FleetFailed.Wrap(err, "cannot encode version %d", p.Version)
@@ -125,6 +128,7 @@
 	switch e.Do {
 	case SourceBack, HealZone, StartNode, RestartNodes:
 		s.watcher.disturb(false)
+		s.driver.Return()
 	}
 	return err
 }
--- /dev/null
+++ b/internal/experiment/load.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+)
+
+// LoadOptions change how an experiment file is run.
+type LoadOptions struct {
+	// Seed replaces the file's seed unless it is 0.
+	Seed uint64
+	// Out gets the report, Progress a line now and then; Progress may be nil.
+	Out      io.Writer
+	Progress io.Writer
+	JSON     bool
+	// FixedSplit replaces lent shares of the rates by fixed ones.
+	FixedSplit bool
+	// Log gets the nodes' log lines from LogLevel on; nil drops them.
+	Log      io.Writer
+	LogLevel slog.Level
+}
+
+// Load runs an experiment file on a fleet in this process and writes the
+// report. The error is PromiseBroken when a promise was broken, BadSpec when
+// the file cannot be run, and FleetFailed when the fleet failed otherwise.
+func Load(ctx context.Context, path string, o LoadOptions) error {
+	spec, err := LoadSpec(path)
+	if err != nil {
+		return err
+	}
+	if o.Seed != 0 {
+		spec.Seed = o.Seed
+	}
+	return runSpec(ctx, spec, o)
+}
+
+func runSpec(ctx context.Context, spec *Spec, o LoadOptions) error {
+	report, err := Execute(ctx, spec, o)
+	if report == nil {
+		return err
+	}
+	write := report.WriteText
+	if o.JSON {
+		write = report.WriteJSON
+	}
+	if e := write(o.Out); e != nil {
+		return e
+	}
+	if err != nil {
+		return err
+	}
+	return report.Err()
+}
+
+// Execute runs an experiment on a fleet in this process. Both results are set
+// when an event failed.
+func Execute(ctx context.Context, spec *Spec, o LoadOptions) (*Report, error) {
+	if err := spec.Check(); err != nil {
+		return nil, err
+	}
+	d, err := FindDeployment(spec.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	p := NewPublication(d, spec.Seed)
+	progress(o.Progress, "starting %d nodes of %s, seed %d", len(d.Hosts()), d.Name, spec.Seed)
+	f, err := StartFleet(ctx, FleetOptions{
+		Deployment: d, Publication: p, Seed: spec.Seed, Network: spec.Network,
+		FixedSplit: o.FixedSplit, Log: o.Log, LogLevel: o.LogLevel,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	progress(o.Progress, "all nodes ready, %s for %.0f s", spec.Name, ms(spec.WarmUpMs+spec.RunMs).Seconds())
+	return (&Run{Spec: spec, Deployment: d, Fleet: f, Publication: p, Progress: o.Progress}).Do(ctx)
+}
+
+const (
+	// defaultDemo is the measured part of a demo; with start and warm-up the
+	// whole takes less than 40 s.
+	defaultDemo = 22 * time.Second
+	// minDemo leaves a zone out long enough to judge that it gets no work.
+	minDemo    = 15 * time.Second
+	demoWarmUp = 6 * time.Second
+)
+
+// DemoOptions say how a demo runs.
+type DemoOptions struct {
+	// Deployment is "lima" or "antioquia"; empty means lima.
+	Deployment string
+	// Seed is 1 if it is 0.
+	Seed uint64
+	// For is the measured part; 0 means 22 s.
+	For  time.Duration
+	Out  io.Writer
+	JSON bool
+	// Progress gets progress lines; if nil, Out gets them unless JSON is set.
+	Progress io.Writer
+}
+
+// Demo runs all nodes of a deployment in this process under steady traffic,
+// publishes changes, takes a zone out and back in, withdraws a key and
+// restarts a backend server cold. It ends by itself and writes the report. The
+// error is PromiseBroken when a promise was broken.
+func Demo(ctx context.Context, o DemoOptions) error {
+	if o.Progress == nil && !o.JSON {
+		o.Progress = o.Out
+	}
+	spec, err := demoSpec(o)
+	if err != nil {
+		return err
+	}
+	return runSpec(ctx, spec, LoadOptions{Out: o.Out, Progress: o.Progress, JSON: o.JSON})
+}
+
+func demoSpec(o DemoOptions) (*Spec, error) {
+	if o.Deployment == "" {
+		o.Deployment = "lima"
+	}
+	if o.Seed == 0 {
+		o.Seed = 1
+	}
+	if o.For == 0 {
+		o.For = defaultDemo
+	}
+	if o.For < minDemo {
+		return nil, BadSpec.New("a demo takes at least %s", minDemo)
+	}
+	d, err := FindDeployment(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	run := o.For.Milliseconds()
+	at := func(percent int64) int { return int(run * percent / 100) }
+	spec := &Spec{
+		Name: "demo", Deployment: o.Deployment, Seed: o.Seed, RunMs: int(run), WarmUpMs: int(demoWarmUp.Milliseconds()),
+		Load: 0.6, Repeat: 0.02, Intruders: 0.005, ProbeMs: at(30),
+		Events: []Event{
+			{AtMs: at(5), Do: Publish},
+			{AtMs: at(13), Do: Publish},
+			{AtMs: at(21), Do: Publish},
+			{AtMs: at(30), Do: ZoneOut, Target: d.Zones[1]},
+			{AtMs: at(40), Do: WithdrawKey, Target: d.Accounts[len(d.Accounts)-1].Name},
+			{AtMs: at(62), Do: ZoneIn, Target: d.Zones[1]},
+			{AtMs: at(75), Do: RestartBackend, Target: d.Hosts()[0].ID},
+			{AtMs: at(90), Do: Publish},
+		},
+		Aims: Aims{MinServed: 0.999, MaxWrongful: 0.001, MaxConvergenceMs: 1000, MaxSpread: 0.10},
+	}
+	return spec, spec.Check()
+}
--- /dev/null
+++ b/internal/experiment/member.go
@@ -0,0 +1,164 @@
+package experiment
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/node"
+	"quetzaldock.example/quetzaldock/internal/operator"
+	"quetzaldock.example/quetzaldock/internal/standin"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+const (
+	// plannedStopMs bounds a planned stop; it is longer than any call.
+	plannedStopMs = 5000
+	// killStopMs makes a stop so short that it cuts what runs, as the death
+	// of the process would.
+	killStopMs = 1
+	// stopPatience is how long the fleet waits for a node's Run to return.
+	stopPatience = 15 * time.Second
+	// appliedMessage is the log line of a node that has put a version in
+	// force; it carries the attribute "version". Reading it costs nothing,
+	// while asking every node's operator port every few milliseconds would
+	// disturb the measurement.
+	appliedMessage = "configuration in force"
+)
+
+// A member is one host of a fleet in this process.
+type member struct {
+	host    config.Host
+	backend *standin.BackendServer
+	// settings hold the bound addresses, so that a restarted node gets them
+	// again.
+	settings node.Settings
+	// advertised is the control address that the node tells others; empty for
+	// its own.
+	advertised string
+	authority  *authority
+	logs       slog.Handler
+	fixedSplit bool
+	bound      bool // settings hold the bound addresses
+
+	version atomic.Uint64
+	life    atomic.Int64
+
+	mu     sync.Mutex
+	node   *node.Node
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// bind makes a node and opens its listeners.
+func (m *member) bind() error {
+	t, err := m.authority.issue(m.host.ID)
+	if err != nil {
+		return err
+	}
+	n := node.New(m.settings)
+	n.TLS, n.FixedSplit = t, m.fixedSplit
+	n.Log = slog.New(&versionHandler{Handler: m.logs, version: &m.version})
+	if err := n.Bind(); err != nil {
+		return FleetFailed.Wrap(err, "cannot start the node of %s", m.host.ID)
+	}
+	if !m.bound {
+		m.settings, m.bound = n.Settings, true
+	}
+	if m.advertised != "" {
+		n.Settings.ControlAddress = m.advertised
+	}
+	m.node = n
+	return nil
+}
+
+// run starts the node that bind made.
+func (m *member) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel, m.ended = cancel, make(chan struct{})
+	m.life.Add(1)
+	go func(n *node.Node, ended chan struct{}) {
+		defer close(ended)
+		if err := n.Run(ctx); err != nil {
+			n.Log.Error("node ended", "error", err)
+		}
+	}(m.node, m.ended)
+}
+
+func (m *member) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.node != nil {
+		return FleetFailed.New("the node of %s runs already", m.host.ID)
+	}
+	if err := m.bind(); err != nil {
+		return err
+	}
+	m.run()
+	return nil
+}
+
+// stop ends the node within about stopMs and waits until it has ended.
+func (m *member) stop(stopMs int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.node == nil {
+		return nil
+	}
+	m.node.Settings.StopMs = stopMs
+	m.cancel()
+	select {
+	case <-m.ended:
+	case <-time.After(stopPatience):
+		return FleetFailed.New("the node of %s did not end within %s", m.host.ID, stopPatience)
+	}
+	m.node = nil
+	m.version.Store(0)
+	return nil
+}
+
+func (m *member) entry(state hosts.State) hosts.Host {
+	return hosts.Host{
+		ID: m.host.ID, Service: m.host.Service, Zone: m.host.Zone, State: state,
+		CallAddress: m.settings.CallAddress, ControlAddress: m.settings.ControlAddress,
+	}
+}
+
+// status asks the node's operator port; it is empty when there is no answer.
+func (m *member) status(ctx context.Context) *operator.Status {
+	s, err := operator.Get(ctx, m.settings.OperatorAddress)
+	if err != nil {
+		return &operator.Status{}
+	}
+	return s
+}
+
+// A versionHandler notes the version that a node logs as being in force.
+type versionHandler struct {
+	slog.Handler
+	version *atomic.Uint64
+}
+
+// Enabled implements slog.Handler. Level Info is needed for the version.
+func (h *versionHandler) Enabled(ctx context.Context, l slog.Level) bool {
+	return l >= slog.LevelInfo || h.Handler.Enabled(ctx, l)
+}
+
+// Handle implements slog.Handler.
+func (h *versionHandler) Handle(ctx context.Context, r slog.Record) error {
+	if r.Message == appliedMessage {
+		r.Attrs(func(a slog.Attr) bool {
+			if a.Key == "version" {
+				h.version.Store(a.Value.Resolve().Uint64())
+			}
+			return true
+		})
+	}
+	if !h.Handler.Enabled(ctx, r.Level) {
+		return nil
+	}
+	return h.Handler.Handle(ctx, r)
+}
