quota: lend shares of rate and burst between hosts

Loans end at deadlines stored by both sides; brokers lend only what is lent to them until later.

No fault or load figures yet.

--- /dev/null
+++ b/pkg/quota/broker.go
@@ -0,0 +1,379 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// A Broker pools what its members lend and lends it to those who ask. The
+// leaders of zones run one each; their surplus and demand go to the root's,
+// which is the same code without a parent. A broker owns nothing: every loan
+// it makes is covered to its end by loans made to it, so it may restart, or
+// exist twice, at any time. Its methods may be called from any goroutine.
+type Broker struct {
+	// Now reads the clock; set before first use.
+	Now func() time.Time
+	// Boot identifies this run of the process; 0 chooses a random number.
+	Boot uint64
+	// Age returns the version in force here and for how long it has been;
+	// nil if unknown. Members that restarted learn from it.
+	Age func() (version uint64, age time.Duration)
+
+	mu    sync.Mutex
+	clock clock
+	books map[string]*pool
+	kids  map[string]*kid
+	links map[string]*uplink
+	swept time.Duration
+}
+
+// A pool is the book of one account with its unmet demands.
+type pool struct {
+	book  *book
+	wants map[string]want // by member
+	retry time.Duration   // when the parent is worth asking again
+	back  time.Duration
+}
+
+// A want is what a member asked for last.
+type want struct {
+	v      volume
+	tokens Amount
+	at     time.Duration
+}
+
+// A kid is one run of a member's process.
+type kid struct {
+	seq      uint64
+	received time.Duration
+	base     time.Duration
+	offers   map[string]*Offer
+}
+
+// wantAge is how long a member's demand counts; a member repeats it each
+// second.
+const wantAge = 1500 * time.Millisecond
+
+// tokenWantAge is how long a demand for tokens counts: requests wait MaxWait.
+const tokenWantAge = MaxWait
+
+func (b *Broker) instant() time.Duration { return b.clock.instant(b.Now, b.Boot) }
+
+func (b *Broker) pool(account string, now time.Duration) *pool {
+	p := b.books[account]
+	if p == nil {
+		if b.books == nil {
+			b.books = map[string]*pool{}
+		}
+		p = &pool{book: newBook(now), wants: map[string]want{}}
+		b.books[account] = p
+	}
+	return p
+}
+
+// Handle books a member's report and composes the reply. It also reports
+// whether tokens that requests wait for are missing: then it pays to exchange
+// with the parent first and to call Retry with the reply.
+func (b *Broker) Handle(from string, r Report) (Reply, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.instant()
+	b.sweep(now)
+	out := Reply{Seq: r.Seq, Base: b.clock.base(now)}
+	if b.Age != nil {
+		v, age := b.Age()
+		out.Version, out.VersionAgeMs = v, uint64(max(age, 0)/time.Millisecond)
+	}
+	base, ok := b.clock.instantOf(r.Base, now)
+	party := partyOf(from, r.Boot)
+	k := b.kids[party]
+	if !ok || (k != nil && r.Seq <= k.seq) {
+		// A repeat must not count twice, and what a base is too old for may
+		// be a repeat that is no longer remembered.
+		out.Stale = true
+		return out, false
+	}
+	if k == nil {
+		if b.kids == nil {
+			b.kids = map[string]*kid{}
+		}
+		k = &kid{}
+		b.kids[party] = k
+	}
+	k.seq, k.received, k.base = r.Seq, now, base
+	k.offers = map[string]*Offer{}
+	short := false
+	for i := range r.Entries {
+		o := &r.Entries[i]
+		p := b.pool(o.Account, now)
+		g := p.receive(party, o, k, now)
+		if p.lend(party, o, &g, k, now) {
+			short = true
+		}
+		k.offers[o.Account] = o
+		if !o.met(&g) {
+			out.Entries = append(out.Entries, g)
+		}
+	}
+	return out, short
+}
+
+// met reports whether the grant says no more than that the deposit is kept.
+func (o *Offer) met(g *Grant) bool {
+	var first volume
+	if len(o.Deposit) > 0 {
+		first = volume{o.Deposit[0].Rate, o.Deposit[0].Capacity}
+	}
+	return first == volume{g.KeptRate, g.KeptCapacity} && len(g.Loan) == 0 && g.Tokens == 0 && g.RetryMs == 0
+}
+
+// receive books deposits, returns and recalls.
+func (p *pool) receive(party string, o *Offer, k *kid, now time.Duration) Grant {
+	b := p.book
+	b.advance(now)
+	b.exchange(o.Tokens, func() {
+		b.out[party] = b.out[party].lower(volume{o.HeldRate, o.HeldCapacity})
+		b.in[party] = b.in[party].raise(scheduleFrom(o.Deposit, k.base))
+	})
+	g := Grant{Account: o.Account}
+	in := b.in[party]
+	if back := in.at(now).min(volume{o.RecallRate, o.RecallCapacity}); !back.isZero() {
+		back = back.min(b.floors([]time.Duration{in.end()}, "", "")[0].floor())
+		g.Tokens = b.remove(min(back.c, max(o.WantTokens, Amount(b.k)-(b.v.c-back.c))))
+		b.in[party] = in.lower(in.at(now).minus(back))
+		b.recompute()
+	}
+	v := b.in[party].at(now)
+	g.KeptRate, g.KeptCapacity = v.r, v.c
+	return g
+}
+
+// loanTerms are the terms a loan may have, as counted by the lender.
+var loanTerms = []time.Duration{
+	TokenTerm + TokenTerm/10, 500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond,
+	1700 * time.Millisecond, 2100 * time.Millisecond, 2500 * time.Millisecond, Term,
+}
+
+// lend grants what a member wants as far as the pool covers it and reports
+// whether tokens that requests wait for are missing.
+func (p *pool) lend(party string, o *Offer, g *Grant, k *kid, now time.Duration) bool {
+	b := p.book
+	had := b.out[party]
+	ends := make([]time.Duration, 0, len(loanTerms))
+	for _, t := range loanTerms {
+		ends = append(ends, k.received+t)
+	}
+	floors := b.floors(ends, "", "")
+	ask := volume{o.WantRate, o.WantCapacity}
+	var s schedule
+	for i, end := range ends {
+		// Loans to the member itself are in the floors; they count as its own.
+		v := floors[i].floor().plus(had.at(end - 1)).min(ask).max(had.at(end - 1))
+		if len(s) > 0 {
+			v = v.min(s[len(s)-1].v)
+		}
+		s = s.push(level{end, v})
+	}
+	s = s.clean()
+	raised := had.raise(s)
+	moved := raised.at(now).c - had.at(now).c
+	need := o.WantTokens - g.Tokens
+	extra := min((need-moved+One-1)/One*One, Amount(b.k)/One*One-moved, floors[0].c-moved)
+	if extra > 0 {
+		raised = raised.add(extra, ends[0])
+		moved += extra
+	}
+	given := b.remove(min(moved, max(need, Amount(b.k)-(b.v.c-moved), proportion(b, moved))))
+	g.Tokens += given
+	b.out[party] = raised
+	b.recompute()
+	for _, l := range raised {
+		d := l.until - k.received
+		if d -= margin(d); d >= time.Millisecond {
+			g.Loan = append(g.Loan, Level{TermMs: uint32(d / time.Millisecond), Rate: l.v.r, Capacity: l.v.c})
+		}
+	}
+	left := max(o.WantTokens-g.Tokens, 0)
+	p.wants[party] = want{v: ask, tokens: left, at: now}
+	if given > 0 {
+		b.use.hit(given.Tokens(), now)
+	}
+	g.RetryMs = 0
+	if o.WantTokens > 0 && g.Tokens < One {
+		g.RetryMs = p.retryMs(now)
+	}
+	return left > 0
+}
+
+// proportion returns the tokens that belong to a part of the bucket's capacity.
+func proportion(b *book, c Amount) Amount {
+	if b.v.c <= 0 {
+		return 0
+	}
+	return Amount(b.k * (float64(c) / float64(b.v.c)))
+}
+
+// retryMs estimates when the pool has a whole token again.
+func (p *pool) retryMs(now time.Duration) uint32 {
+	b := p.book
+	ms := uint32(lastBackoff / time.Millisecond)
+	if b.v.r > 0 && b.v.c >= One {
+		if s := (float64(One) - b.k) / float64(b.v.r); s < lastBackoff.Seconds() {
+			ms = uint32(max(s*1000, 0)) + 1
+		}
+	}
+	if p.retry > now {
+		ms = min(ms, uint32((p.retry-now)/time.Millisecond)+1)
+	}
+	return max(ms, 1)
+}
+
+// Retry completes a reply that lacked tokens after an exchange with the
+// parent. Handle's reply must not have been sent yet.
+func (b *Broker) Retry(from string, r Report, out *Reply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.instant()
+	party := partyOf(from, r.Boot)
+	k := b.kids[party]
+	if k == nil || k.seq != r.Seq || out.Stale {
+		return
+	}
+	for i := range out.Entries {
+		g := &out.Entries[i]
+		o := k.offers[g.Account]
+		if o == nil || o.WantTokens <= g.Tokens {
+			continue
+		}
+		p := b.pool(g.Account, now)
+		p.book.advance(now)
+		g.Loan = nil
+		p.lend(party, o, g, k, now)
+	}
+}
+
+// sweep forgets members and demands that no longer count.
+func (b *Broker) sweep(now time.Duration) {
+	if now-b.swept < time.Second {
+		return
+	}
+	b.swept = now
+	for party, k := range b.kids {
+		if now-k.received > 2*Term {
+			delete(b.kids, party)
+		}
+	}
+	for account, p := range b.books {
+		for party, w := range p.wants {
+			if now-w.at > wantAge {
+				delete(p.wants, party)
+			}
+		}
+		p.book.advance(now)
+		if len(p.book.in)+len(p.book.out)+len(p.wants) == 0 && now-p.book.use.lastHit > time.Minute {
+			delete(b.books, account)
+		}
+	}
+}
+
+// Report composes the next report to the root.
+func (b *Broker) Report(parent string) Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.instant()
+	b.sweep(now)
+	if b.links == nil {
+		b.links = map[string]*uplink{}
+	}
+	x := b.links[parent]
+	if x == nil {
+		x = &uplink{parent: parent}
+		b.links[parent] = x
+	}
+	r := x.open(b.clock.boot, now)
+	if !x.usable(now) {
+		return r
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.books)) {
+		o := Offer{Account: name}
+		b.books[name].offer(x, &o, now)
+		r.Entries = append(r.Entries, o)
+	}
+	return r
+}
+
+// offer plans the exchange with the parent: the pool keeps what members want
+// and could not get, and what it usually grants between reports.
+func (p *pool) offer(x *uplink, o *Offer, now time.Duration) {
+	b := p.book
+	b.advance(now)
+	rate := b.use.sample(now)
+	var target volume
+	if rate > 1 {
+		target = volume{Units(rate), Units(rate / 10)}
+	}
+	var tokens Amount
+	for party, w := range p.wants {
+		if now-w.at > wantAge {
+			continue
+		}
+		target = target.plus(w.v.minus(b.out[party].at(now)).floor())
+		if now-w.at <= tokenWantAge {
+			tokens += w.tokens
+		}
+	}
+	x.plan(b, o, target, now)
+	if tokens > 0 && now >= p.retry {
+		if need := tokens - Amount(b.k); need > 0 {
+			o.WantTokens = (need + One - 1) / One * One
+		}
+	}
+}
+
+// Settle books the reply of the root to the last report. It reports whether a
+// further report should follow at once, which is so after the first contact.
+func (b *Broker) Settle(parent string, r Reply) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.instant()
+	x := b.links[parent]
+	if x == nil {
+		return false
+	}
+	first, told, party := !x.usable(now), x.told, x.party
+	if !x.accept(&r, now) {
+		return false
+	}
+	if first || r.Stale || party != x.party {
+		return first || r.Stale
+	}
+	for i := range r.Entries {
+		g := &r.Entries[i]
+		if _, ok := told[g.Account]; ok {
+			delete(told, g.Account)
+			b.settle(x, g, party, now)
+		}
+	}
+	for name, v := range told {
+		b.settle(x, &Grant{Account: name, KeptRate: v.r, KeptCapacity: v.c}, party, now)
+	}
+	return false
+}
+
+func (b *Broker) settle(x *uplink, g *Grant, party string, now time.Duration) {
+	p := b.books[g.Account]
+	if p == nil {
+		return
+	}
+	p.book.advance(now)
+	x.settle(p.book, g, party)
+	switch {
+	case g.Tokens > 0:
+		p.retry, p.back = 0, 0
+	case g.RetryMs > 0:
+		p.back = min(max(p.back*2, firstBackoff), lastBackoff)
+		p.retry = now + max(p.back, min(time.Duration(g.RetryMs)*time.Millisecond, lastBackoff))
+	}
+}
--- /dev/null
+++ b/pkg/quota/ledger.go
@@ -0,0 +1,333 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// A Ledger holds one node's quota of every account. Its methods may be called
+// from any goroutine.
+type Ledger struct {
+	// Now reads the clock; set before first use.
+	Now func() time.Time
+	// Allowed reports whether the node may spend at an instant. Nil means
+	// always. It must be cheap and safe for concurrent use.
+	Allowed func(time.Time) bool
+	// Wake is called when a report should be sent at once. It must not block.
+	Wake func()
+	// Boot identifies this run of the process; 0 chooses a random number.
+	Boot uint64
+
+	clock    clock
+	accounts atomic.Pointer[map[string]*account]
+	known    atomic.Int64 // when the node last was allowed to spend
+
+	mu    sync.Mutex // guards share, links and changes of accounts
+	share share
+	links map[string]*uplink
+}
+
+// An account is a book with the requests that wait for its tokens.
+type account struct {
+	mu          sync.Mutex
+	book        *book
+	rate, burst float64
+	queue       []*waiter
+	missed      int // refused requests since the last report
+	retryAt     time.Duration
+	backoff     time.Duration
+}
+
+func (l *Ledger) instant() time.Duration { return l.clock.instant(l.Now, l.Boot) }
+
+func (l *Ledger) allowed(now time.Duration) bool {
+	if l.Allowed != nil && !l.Allowed(l.clock.start.Add(now)) {
+		return false
+	}
+	if now > time.Duration(l.known.Load()) {
+		l.known.Store(int64(now))
+	}
+	return true
+}
+
+// Start begins the wait of a new process, which is over once every loan that
+// an earlier process of the host made has ended. Configure starts it too.
+func (l *Ledger) Start() { l.instant() }
+
+// Configure puts a configuration into force. self is the host's ID.
+func (l *Ledger) Configure(s *config.Snapshot, self string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.instant()
+	trusted := l.share.version > 0 && now-time.Duration(l.known.Load()) < ConfirmationGap
+	l.share.configure(s.Version, shareOf(s, self), now, trusted)
+	old := l.all()
+	books := make(map[string]*account, len(s.Accounts))
+	for name := range s.Accounts {
+		a := old[name]
+		if a == nil {
+			a = &account{book: newBook(now)}
+		}
+		e := s.Effective("", "", name)
+		a.mu.Lock()
+		a.rate, a.burst = e.Rate, e.Burst
+		a.mu.Unlock()
+		books[name] = a
+	}
+	for name, a := range old {
+		if books[name] == nil && a.retire(now) {
+			books[name] = a
+		}
+	}
+	l.accounts.Store(&books)
+	l.refresh(now)
+}
+
+// retire ends an account that is no longer configured. It reports whether the
+// book is still needed because loans run.
+func (a *account) retire(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rate, a.burst = 0, 0
+	a.book.setOwn(volume{}, now)
+	return len(a.book.in)+len(a.book.out) > 0
+}
+
+// shareOf returns the number of hosts that share every account, or 0 if the
+// host is none of them.
+func shareOf(s *config.Snapshot, self string) int {
+	n, found := 0, false
+	for id, h := range s.Hosts {
+		if h.Out {
+			continue
+		}
+		n++
+		found = found || id == self
+	}
+	if !found {
+		return 0
+	}
+	return n
+}
+
+func (l *Ledger) all() map[string]*account {
+	if m := l.accounts.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// refresh brings the node's own volumes up to date.
+func (l *Ledger) refresh(now time.Duration) {
+	n := l.share.divisor(now)
+	if now < Term+Margin {
+		n = 0
+	}
+	for _, a := range l.all() {
+		var own volume
+		if n > 0 {
+			own = volume{Units(a.rate) / Amount(n), Units(a.burst) / Amount(n)}
+		}
+		a.mu.Lock()
+		if a.book.own != own {
+			a.book.setOwn(own, now)
+		}
+		a.mu.Unlock()
+	}
+}
+
+// Take spends a token of the account if the node has one. A request that
+// waits goes first. Accounts that are not configured get nothing.
+func (l *Ledger) Take(name string) bool {
+	a := l.all()[name]
+	if a == nil {
+		return false
+	}
+	now := l.instant()
+	if !l.allowed(now) {
+		return false
+	}
+	a.mu.Lock()
+	ok := a.take(now)
+	wake := !ok && now >= a.retryAt
+	if !ok {
+		a.missed++
+	}
+	a.mu.Unlock()
+	if wake {
+		l.wake()
+	}
+	return ok
+}
+
+func (a *account) take(now time.Duration) bool {
+	a.book.advance(now)
+	a.book.use.hit(1, now)
+	return len(a.queue) == 0 && a.book.spend(One)
+}
+
+func (l *Ledger) wake() {
+	if l.Wake != nil {
+		l.Wake()
+	}
+}
+
+// target is the volume a node keeps for an account that uses rate tokens per
+// second there. Where half of the proportional share of the burst is under
+// one token, the node keeps nothing and borrows whole tokens as requests
+// come; the other half of the burst stays with the brokers for that.
+func (a *account) target(rate float64) volume {
+	if a.rate <= 0 || rate <= 0 {
+		return volume{}
+	}
+	c := a.burst * min(rate/a.rate, 1) / 2
+	if c < 1 {
+		return volume{}
+	}
+	return volume{Units(min(rate*0.95, a.rate*0.9)), Units(c)}
+}
+
+// Tick brings shares and estimates up to date and reports whether the node
+// holds so much more than it uses that a report should be sent at once. Call
+// it about every 50 ms.
+func (l *Ledger) Tick() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.instant()
+	l.allowed(now)
+	l.refresh(now)
+	urgent := false
+	for _, a := range l.all() {
+		a.mu.Lock()
+		a.book.advance(now)
+		urgent = a.uneven(now) || urgent
+		a.mu.Unlock()
+	}
+	return urgent
+}
+
+// renewAhead is how long before its end a loan that is in use is renewed out
+// of turn.
+const renewAhead = 300 * time.Millisecond
+
+// uneven reports whether the account's quota here is so far from its use that
+// a report should not wait for its turn.
+func (a *account) uneven(now time.Duration) bool {
+	b := a.book
+	t := a.target(b.use.sample(now))
+	if over := b.v.r - t.r; over > t.r {
+		// What a full bucket spills is lost to the whole fleet.
+		if b.spilt > float64(One)/2 || over > Units(a.rate/10) {
+			return true
+		}
+	}
+	for _, s := range b.in {
+		if s[0].until < now+renewAhead && s[0].v.r > 0 && b.v.r <= t.r*9/8 {
+			return true
+		}
+	}
+	return false
+}
+
+// Report composes the next report to a parent. It returns false while the
+// node may not spend, as it may not lend then either.
+func (l *Ledger) Report(parent string) (Report, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.instant()
+	if !l.allowed(now) {
+		return Report{}, false
+	}
+	l.refresh(now)
+	x := l.link(parent)
+	r := x.open(l.clock.boot, now)
+	if !x.usable(now) {
+		return r, true
+	}
+	all := l.all()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		o := Offer{Account: name}
+		all[name].offer(x, &o, now)
+		r.Entries = append(r.Entries, o)
+	}
+	return r, true
+}
+
+func (l *Ledger) link(parent string) *uplink {
+	if l.links == nil {
+		l.links = map[string]*uplink{}
+	}
+	x := l.links[parent]
+	if x == nil {
+		x = &uplink{parent: parent, owner: true}
+		l.links[parent] = x
+	}
+	return x
+}
+
+// prefetch is how much use a request for tokens covers beyond the requests
+// that wait, so that a steady stream asks less often.
+const prefetch = 20 * time.Millisecond
+
+func (a *account) offer(x *uplink, o *Offer, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.book
+	b.advance(now)
+	rate := b.use.sample(now)
+	x.plan(b, o, a.target(rate), now)
+	b.spilt = 0
+	n := len(a.queue)
+	if n == 0 && a.missed > 0 {
+		n = 1
+	}
+	a.missed = 0
+	if n > 0 && now >= a.retryAt {
+		n += int(rate * prefetch.Seconds())
+		// Whole tokens only: a fraction would lie idle here.
+		if need := Amount(n)*One - Amount(b.k); need > 0 {
+			o.WantTokens = (need + One - 1) / One * One
+		}
+	}
+}
+
+// Settle books the reply to the last report to a parent. It reports whether a
+// further report should follow at once, which is so after the first contact.
+func (l *Ledger) Settle(parent string, r Reply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.instant()
+	x := l.link(parent)
+	first, told, party := !x.usable(now), x.told, x.party
+	if !x.accept(&r, now) {
+		return false
+	}
+	if r.Version > 0 {
+		l.share.confirm(r.Version, now-time.Duration(r.VersionAgeMs)*time.Millisecond)
+	}
+	if first || r.Stale || party != x.party {
+		return first || r.Stale
+	}
+	all := l.all()
+	for i := range r.Entries {
+		g := &r.Entries[i]
+		if _, ok := told[g.Account]; !ok {
+			continue
+		}
+		delete(told, g.Account)
+		if a := all[g.Account]; a != nil {
+			a.settle(x, g, party, now)
+		}
+	}
+	for name, v := range told {
+		if a := all[name]; a != nil {
+			a.settle(x, &Grant{KeptRate: v.r, KeptCapacity: v.c}, party, now)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/quota/runner.go
@@ -0,0 +1,339 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// The intervals of a Runner.
+const (
+	reportInterval = time.Second
+	tickInterval   = 50 * time.Millisecond
+	callTimeout    = 500 * time.Millisecond
+	// parentWait is how long a broker holds a reply back for the root's.
+	parentWait = 15 * time.Millisecond
+	// avoidFor is how long a parent that did not answer is passed over.
+	avoidFor = 2 * time.Second
+	// surplusGap is the least distance of reports that only lend or renew.
+	surplusGap = 100 * time.Millisecond
+)
+
+// A Runner exchanges a node's reports: its ledger's with the leader of its
+// group and, while the node is a leader, its broker's with the root. Set the
+// fields before Run, Init or Handle, and call one of them before the ledger is
+// used.
+type Runner struct {
+	Self   hosts.Host
+	Ledger *Ledger
+	Broker *Broker
+	// Call sends a report to another host's Handle.
+	Call func(ctx context.Context, to hosts.Host, r Report) (Reply, error)
+	// Placement returns the present placement, nil if unknown.
+	Placement func() *hosts.Placement
+	// Snapshot returns the configuration in force, nil if none.
+	Snapshot func() *config.Snapshot
+	// Allowed reports whether the node may spend; nil means always. It is
+	// handed to the ledger.
+	Allowed func(now time.Time) bool
+	// Failed is told of calls that failed; nil ignores them.
+	Failed func(to hosts.Host, err error)
+
+	once     sync.Once
+	member   exchanger
+	leader   exchanger
+	snapshot *config.Snapshot
+	mu       sync.Mutex
+	avoid    map[string]time.Time
+	accepted time.Time
+}
+
+// An exchanger has at most one report in flight and counts rounds, so that a
+// caller can wait for a report that was composed after its demand.
+type exchanger struct {
+	poke  chan struct{}
+	mu    sync.Mutex
+	begun uint64
+	ended uint64
+	done  chan struct{} // closed at the end of each round
+}
+
+func (e *exchanger) wake() {
+	select {
+	case e.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (e *exchanger) begin() {
+	e.mu.Lock()
+	e.begun++
+	e.mu.Unlock()
+}
+
+func (e *exchanger) end() {
+	e.mu.Lock()
+	e.ended = e.begun
+	close(e.done)
+	e.done = make(chan struct{})
+	e.mu.Unlock()
+}
+
+// round waits for a round that begins after the call.
+func (e *exchanger) round(ctx context.Context) bool {
+	e.mu.Lock()
+	want := e.begun + 1
+	done := e.done
+	e.mu.Unlock()
+	e.wake()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-done:
+		}
+		e.mu.Lock()
+		ended := e.ended
+		done = e.done
+		e.mu.Unlock()
+		if ended >= want {
+			return true
+		}
+	}
+}
+
+// Init connects the ledger. Run and Handle do so too.
+func (r *Runner) Init() {
+	r.once.Do(func() {
+		r.member = exchanger{poke: make(chan struct{}, 1), done: make(chan struct{})}
+		r.leader = exchanger{poke: make(chan struct{}, 1), done: make(chan struct{})}
+		r.avoid = map[string]time.Time{}
+		r.Ledger.Wake = r.member.wake
+		if r.Allowed != nil {
+			r.Ledger.Allowed = r.Allowed
+		}
+		r.Ledger.Start()
+		if r.Broker.Age == nil {
+			r.Broker.Age = r.age
+		}
+	})
+}
+
+// age returns the version in force and for how long it has been.
+func (r *Runner) age() (uint64, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.snapshot == nil {
+		return 0, 0
+	}
+	return r.snapshot.Version, r.Ledger.Now().Sub(r.accepted)
+}
+
+// Run exchanges reports until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	r.Init()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.runMember(ctx) })
+	wg.Go(func() { r.runLeader(ctx) })
+	wg.Wait()
+}
+
+// configure puts a new snapshot into force.
+func (r *Runner) configure() {
+	s := r.Snapshot()
+	r.mu.Lock()
+	changed := s != nil && s != r.snapshot
+	if changed {
+		if r.snapshot == nil || s.Version != r.snapshot.Version {
+			r.accepted = r.Ledger.Now()
+		}
+		r.snapshot = s
+	}
+	r.mu.Unlock()
+	if changed {
+		r.Ledger.Configure(s, r.Self.ID)
+	}
+}
+
+func (r *Runner) runMember(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	var next, last time.Time
+	again := false
+	for {
+		if !again {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.member.poke:
+				r.configure()
+			case <-tick.C:
+				r.configure()
+				now := time.Now()
+				urgent := r.Ledger.Tick() && now.Sub(last) >= surplusGap
+				if now.Before(next) && !urgent {
+					continue
+				}
+			}
+		}
+		last = time.Now()
+		next = last.Add(jitter())
+		again = r.exchangeMember(ctx) && ctx.Err() == nil
+	}
+}
+
+func jitter() time.Duration {
+	return reportInterval*9/10 + rand.N(reportInterval/5)
+}
+
+// exchangeMember sends one report of the ledger and reports whether another
+// should follow at once.
+func (r *Runner) exchangeMember(ctx context.Context) bool {
+	to, ok := r.parent()
+	if !ok {
+		return false
+	}
+	report, ok := r.Ledger.Report(to.ID)
+	if !ok {
+		return false
+	}
+	var reply Reply
+	var err error
+	if to.ID == r.Self.ID {
+		reply, err = r.Handle(ctx, r.Self.ID, report)
+	} else {
+		reply, err = r.call(ctx, to, report)
+	}
+	return err == nil && r.Ledger.Settle(to.ID, reply)
+}
+
+func (r *Runner) call(ctx context.Context, to hosts.Host, report Report) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := r.Call(ctx, to, report)
+	if err == nil {
+		err = reply.Check()
+	}
+	r.mu.Lock()
+	if err != nil {
+		r.avoid[to.ID] = time.Now().Add(avoidFor)
+	} else {
+		delete(r.avoid, to.ID)
+	}
+	r.mu.Unlock()
+	if err != nil && r.Failed != nil && ctx.Err() != context.Canceled {
+		r.Failed(to, err)
+	}
+	return reply, err
+}
+
+// parent returns the leader that the ledger reports to: the one the placement
+// names, or another of the zone while that one does not answer.
+func (r *Runner) parent() (hosts.Host, bool) {
+	p := r.Placement()
+	if p == nil {
+		return hosts.Host{}, false
+	}
+	if h, ok := p.Parents[r.Self.ID]; ok && !r.avoided(h.ID) {
+		return h, true
+	}
+	for _, h := range p.Leaders[r.Self.Zone] {
+		if !r.avoided(h.ID) {
+			return h, true
+		}
+	}
+	h, ok := p.Parents[r.Self.ID]
+	return h, ok
+}
+
+func (r *Runner) avoided(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.avoid[id]
+	if ok && !time.Now().Before(until) {
+		delete(r.avoid, id)
+		ok = false
+	}
+	return ok
+}
+
+// root returns the root that the broker reports to; false if the node is no
+// leader or the root itself. While the root does not answer, the leader that
+// ranks next takes its place.
+func (r *Runner) root() (hosts.Host, bool) {
+	p := r.Placement()
+	if p == nil || !p.IsLeader(r.Self.ID, r.Self.Zone) {
+		return hosts.Host{}, false
+	}
+	if !r.avoided(p.Root.ID) {
+		return p.Root, p.Root.ID != r.Self.ID
+	}
+	byID := map[string]hosts.Host{}
+	var ids []string
+	for _, hs := range p.Leaders {
+		for _, h := range hs {
+			byID[h.ID] = h
+			ids = append(ids, h.ID)
+		}
+	}
+	ids = hosts.Rank("root", ids)
+	i := slices.IndexFunc(ids, func(id string) bool { return !r.avoided(id) })
+	if i < 0 || ids[i] == r.Self.ID {
+		return hosts.Host{}, false
+	}
+	return byID[ids[i]], true
+}
+
+func (r *Runner) runLeader(ctx context.Context) {
+	next := time.NewTimer(jitter())
+	defer next.Stop()
+	again := false
+	for {
+		if !again {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.leader.poke:
+			case <-next.C:
+			}
+		}
+		next.Reset(jitter())
+		r.leader.begin()
+		again = r.exchangeLeader(ctx) && ctx.Err() == nil
+		r.leader.end()
+	}
+}
+
+func (r *Runner) exchangeLeader(ctx context.Context) bool {
+	to, ok := r.root()
+	if !ok {
+		return false
+	}
+	reply, err := r.call(ctx, to, r.Broker.Report(to.ID))
+	return err == nil && r.Broker.Settle(to.ID, reply)
+}
+
+// Handle answers a report of the host from, which the caller must have
+// authenticated. Errors are ErrTooLarge and ErrOutOfRange.
+func (r *Runner) Handle(ctx context.Context, from string, report Report) (Reply, error) {
+	r.Init()
+	if err := report.Check(); err != nil {
+		return Reply{}, err
+	}
+	reply, short := r.Broker.Handle(from, report)
+	if !short {
+		return reply, nil
+	}
+	if _, ok := r.root(); ok {
+		ctx, cancel := context.WithTimeout(ctx, parentWait)
+		defer cancel()
+		r.leader.round(ctx)
+		r.Broker.Retry(from, report, &reply)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/pkg/quota/runner_test.go
@@ -0,0 +1,86 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// fleet connects runners by direct calls.
+type fleet struct {
+	mu      sync.Mutex
+	runners map[string]*Runner
+	down    map[string]bool
+}
+
+func (f *fleet) call(from string) func(context.Context, hosts.Host, Report) (Reply, error) {
+	return func(ctx context.Context, to hosts.Host, r Report) (Reply, error) {
+		f.mu.Lock()
+		t, down := f.runners[to.ID], f.down[to.ID] || f.down[from]
+		f.mu.Unlock()
+		if down {
+			return Reply{}, ErrNoParent.New("%s is down", to.ID)
+		}
+		return t.Handle(ctx, from, r)
+	}
+}
+
+// Guards against runners that don't bring quota to the host where requests
+// come in: with a burst of 5 over 6 hosts no share holds a whole token. The
+// hosts' clocks start 20 s in the past so that the wait after a start is over
+// soon.
+func TestRunnersAssembleWholeTokens(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	s := snapshot(1, hostIDs(6), map[string]limit{"club": {50, 5}})
+	l := &hosts.List{Revision: 1}
+	for id := range s.Hosts {
+		l.Hosts = append(l.Hosts, hosts.Host{ID: id, Zone: "z", State: hosts.Live})
+	}
+	p := hosts.NewPlacement(l)
+	f := &fleet{runners: map[string]*Runner{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	past := time.Now().Add(-20 * time.Second)
+	var started atomic.Bool
+	now := func() time.Time {
+		if !started.Load() {
+			return past
+		}
+		return time.Now()
+	}
+	for _, h := range l.Hosts {
+		r := &Runner{
+			Self:      h,
+			Ledger:    &Ledger{Now: now},
+			Broker:    &Broker{Now: now},
+			Call:      f.call(h.ID),
+			Placement: func() *hosts.Placement { return p },
+			Snapshot:  func() *config.Snapshot { return s },
+		}
+		r.Init()
+		r.Ledger.Configure(s, h.ID)
+		f.runners[h.ID] = r
+	}
+	started.Store(true)
+	for _, r := range f.runners {
+		wg.Go(func() { r.Run(ctx) })
+	}
+	admitted := 0
+	for i := 0; i < 8000 && admitted < 20; i++ {
+		if f.runners["h-0000"].Ledger.TakeWait(ctx, "club", time.Now().Add(time.Second)) {
+			admitted++
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	assert.Equal(t, admitted, 20)
+}
--- /dev/null
+++ b/pkg/quota/uplink.go
@@ -0,0 +1,125 @@
+package quota
+
+import (
+	"strconv"
+	"time"
+)
+
+// An uplink is the child's side of the exchange with one parent. At most one
+// report is outstanding; a reply to an earlier one is ignored.
+type uplink struct {
+	parent string
+	party  string // the parent's name in books: one run of its process
+	base   Base
+	heard  time.Duration // when base was received
+	known  bool
+
+	seq     uint64
+	waiting bool
+	sent    time.Duration
+	told    map[string]volume // the first deposit level of each account
+	owner   bool              // the child owns shares
+}
+
+func partyOf(id string, boot uint64) string { return id + "/" + strconv.FormatUint(boot, 36) }
+
+// open starts a report.
+func (x *uplink) open(boot uint64, now time.Duration) Report {
+	x.seq++
+	x.waiting, x.sent = true, now
+	x.told = map[string]volume{}
+	return Report{Boot: boot, Seq: x.seq, Base: x.base}
+}
+
+// usable reports whether a deposit counted from the base is worth sending.
+func (x *uplink) usable(now time.Duration) bool {
+	return x.known && now-x.heard < Term
+}
+
+// accept checks that a reply answers the outstanding report and notes its
+// base. It returns false if the reply must be ignored.
+func (x *uplink) accept(r *Reply, now time.Duration) bool {
+	if !x.waiting || r.Seq != x.seq {
+		return false
+	}
+	x.waiting = false
+	x.base, x.heard, x.known = r.Base, now, true
+	x.party = partyOf(x.parent, r.Base.Boot)
+	return true
+}
+
+// depositStep is the distance of the steps of a broker's deposits.
+const depositStep = 400 * time.Millisecond
+
+// ends returns the instants at which the levels of a deposit end, as counted
+// by the child, in rising order.
+func (x *uplink) ends(now time.Duration) []time.Duration {
+	if x.owner {
+		return []time.Duration{x.heard + Term + Margin}
+	}
+	last := x.heard + Term + margin(Term)
+	var out []time.Duration
+	for t := last - depositStep*time.Duration((last-now)/depositStep); t <= last; t += depositStep {
+		if t > now+depositStep/2 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// term returns what the parent may count from its base for a loan that the
+// child counts until end.
+func (x *uplink) term(end time.Duration) time.Duration {
+	if x.owner {
+		return end - x.heard - Margin
+	}
+	d := end - x.heard
+	return d - margin(d)
+}
+
+// plan fills the offer of one account: what the child lends, gives back,
+// wants back and wants to borrow so that it keeps target for itself.
+func (x *uplink) plan(b *book, o *Offer, target volume, now time.Duration) {
+	in, out := b.in[x.party], b.out[x.party]
+	held, lent := in.at(now), out.at(now)
+	free := b.v.minus(held).plus(lent) // without the loans from and to the parent
+	want := target.minus(free).floor()
+	dep := x.deposit(b, target, now)
+	raised := out.raise(dep)
+	b.out[x.party] = raised
+	// What backs loans made from here can't be given back before they end.
+	backing := volume{}.minus(b.floors([]time.Duration{in.end()}, x.party, "")[0]).floor()
+	keep := held.min(want.max(backing))
+	moved := held.c - keep.c + raised.at(now).c - lent.c
+	o.Tokens = b.remove(min(moved, Amount(b.k)-max(b.v.c-moved, 0)))
+	b.in[x.party] = in.lower(keep)
+	b.recompute()
+
+	x.told[o.Account] = dep.at(now)
+	for _, l := range dep {
+		o.Deposit = append(o.Deposit, Level{TermMs: uint32(x.term(l.until) / time.Millisecond), Rate: l.v.r, Capacity: l.v.c})
+	}
+	recall := lent.minus(free.minus(target).floor()).floor()
+	o.RecallRate, o.RecallCapacity = recall.r, recall.c
+	o.HeldRate, o.HeldCapacity = keep.r, keep.c
+	o.WantRate, o.WantCapacity = want.r, want.c
+}
+
+// deposit returns what the child can lend to the parent.
+func (x *uplink) deposit(b *book, target volume, now time.Duration) schedule {
+	ends := x.ends(now)
+	var dep schedule
+	for i, v := range b.floors(ends, x.party, x.party) {
+		dep = dep.push(level{ends[i], v.minus(target).floor()})
+	}
+	return dep.clean()
+}
+
+// settle books one grant. The reply's loans count from when the report was
+// sent.
+func (x *uplink) settle(b *book, g *Grant, party string) {
+	b.exchange(g.Tokens, func() {
+		b.out[party] = b.out[party].lower(volume{g.KeptRate, g.KeptCapacity})
+		b.in[party] = b.in[party].raise(scheduleFrom(g.Loan, x.sent))
+	})
+}
