--- a/cmd/quetzaldock/main.go
+++ b/cmd/quetzaldock/main.go
@@ -11,6 +11,8 @@
 
 func main() {
 	c := newCLI(os.Stdout)
+	c.addNode()
+	c.addStatus()
 	c.addCheck()
 	c.addExplain()
 	c.addDiff()
--- /dev/null
+++ b/cmd/quetzaldock/mesh_test.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/node"
+	"quetzaldock.example/quetzaldock/internal/operator"
+	"quetzaldock.example/quetzaldock/internal/standin"
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// A mesh is a fleet of real node processes. The platform and the backend
+// servers are stand-ins in the test process, and every connection between
+// nodes passes a fault-injecting proxy.
+type mesh struct {
+	t        *testing.T
+	dir      string
+	platform *standin.Platform
+	ran      *standin.Executions
+	doc      config.Document
+	version  uint64
+	keys     map[string]string
+	hosts    []*meshHost
+}
+
+// A meshHost is one host: its backend server, the proxies in front of its
+// node, and the node's process.
+type meshHost struct {
+	settings node.Settings
+	backend  *standin.BackendServer
+	calls    *standin.FaultProxy
+	control  *standin.FaultProxy
+	process  *exec.Cmd
+	log      *lockedLog
+}
+
+// A lockedLog collects what a process prints.
+type lockedLog struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newMesh(t *testing.T, n int) *mesh {
+	t.Helper()
+	m := &mesh{t: t, dir: t.TempDir(), platform: standin.NewPlatform(), ran: standin.NewExecutions(), keys: map[string]string{}}
+	assert.NilError(t, m.platform.Start())
+	t.Cleanup(m.platform.Close)
+	m.describe(n)
+	m.publish()
+	a, err := tlsfiles.NewAuthority()
+	assert.NilError(t, err)
+	for i := range n {
+		m.addHost(a, i)
+	}
+	m.publishHosts()
+	for _, h := range m.hosts {
+		m.start(h)
+	}
+	t.Cleanup(m.end)
+	return m
+}
+
+// describe makes a configuration of n hosts over two zones and two accounts.
+func (m *mesh) describe(n int) {
+	m.doc = config.Document{
+		Defaults: &config.Values{
+			Slots: ptr(12), ColdSlots: ptr(2), ConnectionsPerSecond: ptr(200), QueuePerAccount: ptr(64),
+			CallTimeoutMs: ptr(2000), RetryPercent: ptr(20), MaxHeaderBytes: ptr(16384),
+			Rate: ptr(400.0), Burst: ptr(200.0),
+		},
+		Zones:    []config.AvailabilityZone{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
+		Services: []config.Service{{Name: "desk"}},
+		Routes:   []config.Route{{Prefix: "/entries", Service: "desk"}},
+	}
+	for i := range n {
+		m.doc.Hosts = append(m.doc.Hosts, config.Host{ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: fmt.Sprintf("z%d", i%2)})
+	}
+	for _, name := range []string{"club-a", "club-b"} {
+		key, digest, err := config.NewKey()
+		assert.NilError(m.t, err)
+		m.keys[name] = key
+		m.ran.AddSecret(key)
+		m.doc.Accounts = append(m.doc.Accounts, config.ClientAccount{Name: name, Keys: []string{digest}})
+	}
+}
+
+func (m *mesh) publish() {
+	m.t.Helper()
+	m.version++
+	b, parts, err := config.Publish(m.version, map[string]config.Document{"all": m.doc})
+	assert.NilError(m.t, err)
+	assert.NilError(m.t, m.platform.Publish(b, parts))
+}
+
+func (m *mesh) publishHosts() {
+	var l hosts.List
+	for i, h := range m.hosts {
+		l.Hosts = append(l.Hosts, hosts.Host{
+			ID: h.settings.Host, Service: "desk", Zone: m.doc.Hosts[i].Zone, State: hosts.Live,
+			CallAddress: h.calls.Address(), ControlAddress: h.control.Address(),
+		})
+	}
+	assert.NilError(m.t, m.platform.SetHosts(l))
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func (m *mesh) freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(m.t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (m *mesh) addHost(a *tlsfiles.Authority, i int) {
+	id := m.doc.Hosts[i].ID
+	b := standin.NewBackendServer(id, m.ran)
+	b.ServiceTime, b.WarmUp, b.Seed = 2*time.Millisecond, time.Second, uint64(i+1)
+	assert.NilError(m.t, b.Start())
+	m.t.Cleanup(b.Close)
+	files := filepath.Join(m.dir, id)
+	assert.NilError(m.t, os.MkdirAll(files, 0o700))
+	f, err := a.Write(files, id)
+	assert.NilError(m.t, err)
+	h := &meshHost{backend: b, settings: node.Settings{
+		Host: id, Service: "desk", Zone: m.doc.Hosts[i].Zone,
+		CallerAddress: m.freeAddress(), CallAddress: m.freeAddress(),
+		ControlAddress: m.freeAddress(), OperatorAddress: m.freeAddress(),
+		BackendAddress: b.Address(), PlatformURL: m.platform.URL(), LogLevel: "Info", StopMs: 10000,
+		TLS: node.TLSSettings{CertificateFile: f.Certificate, KeyFile: f.Key, AuthorityFile: f.Authority},
+	}}
+	b.CallerAddress = h.settings.CallerAddress
+	h.calls = m.proxy(h.settings.CallAddress, uint64(i))
+	h.control = m.proxy(h.settings.ControlAddress, uint64(100+i))
+	m.hosts = append(m.hosts, h)
+}
+
+func (m *mesh) proxy(target string, seed uint64) *standin.FaultProxy {
+	p := standin.NewFaultProxy(target, seed)
+	assert.NilError(m.t, p.Start())
+	m.t.Cleanup(p.Close)
+	return p
+}
+
+// start runs the host's node as a process of its own.
+func (m *mesh) start(h *meshHost) {
+	m.t.Helper()
+	b, err := toml.Marshal(h.settings)
+	assert.NilError(m.t, err)
+	path := filepath.Join(m.dir, h.settings.Host+".toml")
+	assert.NilError(m.t, os.WriteFile(path, b, 0o600))
+	h.log = &lockedLog{}
+	h.process = exec.Command(os.Args[0], "node", "--settings", path)
+	h.process.Env = append(os.Environ(), runMain+"=1", "GORACE=atexit_sleep_ms=0")
+	h.process.Stdout, h.process.Stderr = h.log, h.log
+	assert.NilError(m.t, h.process.Start())
+}
+
+// end kills what still runs.
+func (m *mesh) end() {
+	for _, h := range m.hosts {
+		if h.process.ProcessState == nil {
+			_ = h.process.Process.Kill()
+			_ = h.process.Wait()
+		}
+		if m.t.Failed() {
+			m.t.Logf("log of %s:\n%s", h.settings.Host, h.log)
+		}
+	}
+}
+
+// signal sends a signal to the host's node.
+func (m *mesh) signal(h *meshHost, s syscall.Signal) {
+	m.t.Helper()
+	assert.NilError(m.t, h.process.Process.Signal(s))
+}
+
+// kill ends the host's node without warning.
+func (m *mesh) kill(h *meshHost) {
+	m.signal(h, syscall.SIGKILL)
+	_ = h.process.Wait()
+}
+
+func (h *meshHost) status() *operator.Status {
+	s, err := operator.Get(context.Background(), h.settings.OperatorAddress)
+	if err != nil {
+		return &operator.Status{}
+	}
+	return s
+}
+
+// awaitVersion waits until every host has the published version in force.
+func (m *mesh) awaitVersion() {
+	m.t.Helper()
+	m.await("version in force everywhere", func() bool {
+		for _, h := range m.hosts {
+			if s := h.status(); s.Version != m.version || !s.KeyedAllowed {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// await waits for a condition, much longer than it may take.
+func (m *mesh) await(what string, ok func() bool) {
+	m.t.Helper()
+	for range 1500 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	m.t.Fatalf("not reached: %s", what)
+}
+
+// awaitQuota waits until calls pass at every host.
+func (m *mesh) awaitQuota() {
+	m.t.Helper()
+	c := newTraffic(m, 1000+m.version)
+	m.await("calls pass", func() bool {
+		for i := range 20 * len(m.hosts) {
+			if a := c.attempt(m.hosts[i%len(m.hosts)], c.newTrial(http.MethodGet, "club-a")); a.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/cmd/quetzaldock/process_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/standin"
+)
+
+// pace is the calls per second of the traffic, two thirds of what the two
+// accounts' published rate allows one of them.
+const pace = 200
+
+// TestProcesses runs real node processes behind fault-injecting proxies
+// through one fault after another, and checks the promises after each.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	t.Parallel()
+	m := newMesh(t, 4)
+	m.awaitVersion()
+	m.awaitQuota()
+	for _, p := range []struct {
+		name string
+		run  func(t *testing.T, m *mesh)
+	}{
+		{"steady", testSteady},
+		{"silent connections", testSilentConnections},
+		{"node killed", testNodeKilled},
+		{"node paused", testNodePaused},
+		{"backend server restarts cold", testColdRestart},
+		{"zone out and back", testZoneOut},
+		{"source outage", testSourceOutage},
+		{"key withdrawn", testKeyWithdrawn},
+		{"planned stop", testPlannedStop},
+	} {
+		if !t.Run(p.name, func(t *testing.T) {
+			m.t = t
+			p.run(t, m)
+		}) {
+			break
+		}
+	}
+	m.t = t
+}
+
+// during runs traffic and calls fault once it flows.
+func during(m *mesh, seed uint64, d time.Duration, fault func(c *traffic)) []*trial {
+	c := newTraffic(m, seed)
+	done := make(chan []*trial, 1)
+	go func() { done <- c.run(pace, d) }()
+	time.Sleep(d / 4)
+	fault(c)
+	trials := <-done
+	c.check(trials)
+	m.t.Logf("%d calls, %d served, failures: %v", len(trials), served(trials), failures(trials))
+	return trials
+}
+
+// atLeast demands a share of served calls, in per mille.
+func atLeast(t *testing.T, trials []*trial, perMille int) {
+	t.Helper()
+	assert.Check(t, served(trials)*1000 >= len(trials)*perMille, "served %d of %d: %v", served(trials), len(trials), failures(trials))
+}
+
+// Guards against refusals and failures without any fault.
+func testSteady(t *testing.T, m *mesh) {
+	trials := during(m, 1, 3*time.Second, func(*traffic) {})
+	atLeast(t, trials, 999)
+}
+
+// Guards against calls that are lost on open connections which went silent
+// while new ones work.
+func testSilentConnections(t *testing.T, m *mesh) {
+	trials := during(m, 2, 6*time.Second, func(*traffic) {
+		for _, h := range m.hosts {
+			h.calls.SilenceOpen()
+			h.control.SilenceOpen()
+		}
+	})
+	for _, x := range trials {
+		if x.method == http.MethodGet {
+			assert.Check(t, x.status == http.StatusOK, "idempotent trial %s failed: %d %s", x.id, x.status, x.failure)
+		}
+	}
+}
+
+// Guards against doubled runs and lasting failures after a node was killed.
+func testNodeKilled(t *testing.T, m *mesh) {
+	h := m.hosts[1]
+	during(m, 3, 6*time.Second, func(c *traffic) {
+		m.kill(h)
+		time.Sleep(2 * time.Second)
+		m.start(h)
+	})
+	m.awaitVersion()
+	m.awaitQuota()
+}
+
+// Guards against a paused process running old requests when it wakes.
+func testNodePaused(t *testing.T, m *mesh) {
+	h := m.hosts[2]
+	during(m, 4, 10*time.Second, func(*traffic) {
+		m.signal(h, syscall.SIGSTOP)
+		time.Sleep(4 * time.Second)
+		m.signal(h, syscall.SIGCONT)
+	})
+	m.awaitVersion()
+	m.awaitQuota()
+	_ = t
+}
+
+// Guards against a cold backend server getting more than it bears (P4).
+func testColdRestart(t *testing.T, m *mesh) {
+	h := m.hosts[0]
+	before := h.backend.Stats()
+	during(m, 5, 6*time.Second, func(*traffic) {
+		assert.Check(t, h.backend.Restart())
+	})
+	after := h.backend.Stats()
+	assert.Check(t, after.ColdExcess == before.ColdExcess, "P4: %d calls over what a cold server bears", after.ColdExcess-before.ColdExcess)
+}
+
+// Guards against new work in a zone that was taken out (P5), and against
+// refusals while it leaves and returns.
+func testZoneOut(t *testing.T, m *mesh) {
+	executed := func() int { return m.hosts[1].backend.Stats().Executed + m.hosts[3].backend.Stats().Executed }
+	trials := during(m, 6, 12*time.Second, func(*traffic) {
+		m.doc.Zones[1].Out = true
+		m.publish()
+		time.Sleep(4 * time.Second)
+		n := executed()
+		time.Sleep(2 * time.Second)
+		assert.Check(t, executed() == n, "P5: %d calls ran in a zone that is out", executed()-n)
+		m.doc.Zones[1].Out = false
+		m.publish()
+	})
+	atLeast(t, trials, 999)
+	m.awaitVersion()
+}
+
+// Guards against refusals while the source is down, and against a version
+// that is lost when it returns (P15).
+func testSourceOutage(t *testing.T, m *mesh) {
+	trials := during(m, 7, 12*time.Second, func(*traffic) {
+		assert.Check(t, m.platform.SetFault(standin.Refuse))
+		time.Sleep(7 * time.Second)
+		assert.Check(t, m.platform.SetFault(standin.NoFault))
+		m.publish()
+	})
+	atLeast(t, trials, 999)
+	m.awaitVersion()
+}
+
+// Guards against a withdrawn key that goes on working on open connections (P8).
+func testKeyWithdrawn(t *testing.T, m *mesh) {
+	keys := m.doc.Accounts[0].Keys
+	m.doc.Accounts[0].Keys = nil
+	m.publish()
+	time.Sleep(4 * time.Second)
+	c := newTraffic(m, 8)
+	for _, h := range m.hosts {
+		a := c.attempt(h, c.newTrial(http.MethodGet, "club-a"))
+		assert.Check(t, a.status == http.StatusUnauthorized, "P8: status %d at %s", a.status, h.settings.Host)
+		a = c.attempt(h, c.newTrial(http.MethodGet, "club-b"))
+		assert.Check(t, a.status == http.StatusOK, "other account: status %d at %s", a.status, h.settings.Host)
+	}
+	m.doc.Accounts[0].Keys = keys
+	m.publish()
+	m.awaitVersion()
+	m.awaitQuota()
+}
+
+// Guards against a planned stop that cuts a call (P14) or leaves new work at
+// the backend server (P13).
+func testPlannedStop(t *testing.T, m *mesh) {
+	h := m.hosts[3]
+	trials := during(m, 9, 8*time.Second, func(*traffic) {
+		m.signal(h, syscall.SIGTERM)
+		assert.Check(t, h.process.Wait())
+	})
+	for _, x := range trials {
+		assert.Check(t, x.status == http.StatusOK, "P14: trial %s: %d %s", x.id, x.status, x.failure)
+	}
+	m.start(h)
+	m.awaitVersion()
+}
--- /dev/null
+++ b/cmd/quetzaldock/trace_test.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"context"
+	"net/http/httptrace"
+)
+
+// withWroteHeaders sets sent once a request's header may have left, so that a
+// caller knows that a request was never sent.
+func withWroteHeaders(ctx context.Context, sent *bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { *sent = true },
+	})
+}
--- /dev/null
+++ b/cmd/quetzaldock/traffic_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/standin"
+)
+
+// traffic makes calls at a steady pace and keeps what the callers saw. A
+// caller tries another host after a refusal that says "not run" or a refused
+// connection, with the same Idempotency-Key.
+type traffic struct {
+	m       *mesh
+	client  *http.Client
+	account string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	trials []*trial
+	next   atomic.Int64
+	prefix string
+	skip   map[*meshHost]bool
+}
+
+// A trial is one request of a caller with all its attempts.
+type trial struct {
+	id, method, account, key string
+	// notRun holds how many attempts were refused as not run; unsent how many
+	// found no connection.
+	notRun, unsent, attempts int
+	// status is the last answer's, 0 without one.
+	status  int
+	whole   bool
+	failure string
+}
+
+// An attempt is what one caller saw of one try.
+type attempt struct {
+	status int
+	notRun string
+	unsent bool
+	whole  bool
+	err    error
+}
+
+func newTraffic(m *mesh, seed uint64) *traffic {
+	return &traffic{
+		m: m, account: "club-a", random: rand.New(rand.NewPCG(seed, 1)), prefix: fmt.Sprintf("s%d", seed), skip: map[*meshHost]bool{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+}
+
+func (c *traffic) newTrial(method, account string) *trial {
+	t := &trial{id: fmt.Sprintf("%s-%d", c.prefix, c.next.Add(1)), method: method, account: account}
+	if method == http.MethodPost {
+		k, err := uuid.NewV7()
+		assert.Check(c.m.t, err)
+		t.key = k.String()
+	}
+	return t
+}
+
+// attempt sends a trial to one host.
+func (c *traffic) attempt(h *meshHost, t *trial) attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, t.method, "http://"+h.settings.CallerAddress+"/entries/1", nil)
+	assert.Check(c.m.t, err)
+	r.Header.Set("Authorization", "Bearer "+c.m.keys[t.account])
+	r.Header.Set(standin.HeaderTrial, t.id)
+	if t.key != "" {
+		r.Header.Set(standin.HeaderIdempotencyKey, t.key)
+		// net/http must not send the request again by itself.
+		r.Body = io.NopCloser(http.NoBody)
+	}
+	sent := false
+	r = r.WithContext(withWroteHeaders(ctx, &sent))
+	a, err := c.client.Do(r)
+	if err != nil {
+		return attempt{unsent: !sent, err: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	e, whole := standin.DecodeEcho(b)
+	return attempt{
+		status: a.StatusCode, notRun: a.Header.Get(standin.HeaderNotRun), err: err,
+		whole: whole && err == nil && e.Trial == t.id && e.Account == t.account,
+	}
+}
+
+// call tries hosts until one answers or the outcome is unknown.
+func (c *traffic) call(t *trial) {
+	c.mu.Lock()
+	order := c.random.Perm(len(c.m.hosts))
+	c.trials = append(c.trials, t)
+	skip := c.skip
+	c.mu.Unlock()
+	for _, i := range order {
+		h := c.m.hosts[i]
+		if skip[h] {
+			continue
+		}
+		a := c.attempt(h, t)
+		t.attempts++
+		t.status, t.whole = a.status, a.whole
+		if a.err != nil {
+			t.failure = a.err.Error()
+		}
+		switch {
+		case a.unsent:
+			t.unsent++
+		case a.notRun != "":
+			t.notRun++
+			t.failure = a.notRun
+		default:
+			return
+		}
+	}
+}
+
+// run makes calls for the duration, half of them non-idempotent, and returns
+// once all have ended.
+func (c *traffic) run(perSecond int, d time.Duration) []*trial {
+	c.mu.Lock()
+	c.trials = nil
+	c.mu.Unlock()
+	var w sync.WaitGroup
+	end := time.Now().Add(d)
+	tick := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer tick.Stop()
+	for i := 0; time.Now().Before(end); i++ {
+		<-tick.C
+		method := http.MethodGet
+		if i%2 == 0 {
+			method = http.MethodPost
+		}
+		t := c.newTrial(method, c.account)
+		w.Go(func() { c.call(t) })
+	}
+	w.Wait()
+	return c.trials
+}
+
+// check holds the promises that every trial must keep, whatever failed.
+func (c *traffic) check(trials []*trial) {
+	t := c.m.t
+	t.Helper()
+	for _, x := range trials {
+		n := c.m.ran.OfTrial(x.id)
+		if x.method == http.MethodPost {
+			assert.Check(t, n <= 1, "P12: non-idempotent trial %s ran %d times", x.id, n)
+		}
+		if x.notRun+x.unsent == x.attempts && x.notRun > 0 {
+			assert.Check(t, n == 0, "P11: trial %s ran %d times though all attempts say not run (%s)", x.id, n, x.failure)
+		}
+		if x.status == http.StatusOK {
+			assert.Check(t, x.whole, "P10: trial %s got an answer that is not its own whole one", x.id)
+			assert.Check(t, n >= 1, "P10: trial %s was answered without having run", x.id)
+		}
+	}
+	assert.Check(t, c.m.ran.Leaks() == 0, "P7: a key reached a backend server")
+}
+
+// served counts the trials that were answered.
+func served(trials []*trial) int {
+	n := 0
+	for _, x := range trials {
+		if x.status == http.StatusOK && x.whole {
+			n++
+		}
+	}
+	return n
+}
+
+// failures summarizes the trials that were not answered.
+func failures(trials []*trial) map[string]int {
+	f := map[string]int{}
+	for _, x := range trials {
+		if x.status != http.StatusOK {
+			f[fmt.Sprintf("%s %d %.60s", x.method, x.status, x.failure)]++
+		}
+	}
+	return f
+}
--- a/internal/backend/ending.go
+++ b/internal/backend/ending.go
@@ -18,8 +18,6 @@
 type ending struct {
 	s      *Server
 	ticket *gate.Ticket
-	key    gate.Key
-	keyed  bool
 	token  string
 	entry  *Entry
 	status int
@@ -29,23 +27,18 @@
 // failed ends a call that got no answer and says what that means to the
 // caller.
 func (e *ending) failed(ctx context.Context, err error) error {
+	e.finish(outcome(ctx, err))
 	if errorx.IsOfType(err, http1.NotSent) {
-		e.finish(outcome(ctx, err), gate.NotStarted)
 		return &call.NotRun{Reason: "ServerUnreachable"}
 	}
-	e.finish(outcome(ctx, err), gate.Lost)
 	return &call.Unknown{Reason: "no whole answer from the backend server", Cause: err, Deeper: e.entry.HasNestedFailure()}
 }
 
-// finish releases the slot and records how the call ended. A request that was
-// not sent leaves its key free for another attempt.
-func (e *ending) finish(o gate.Outcome, r gate.Result) {
+// finish releases the slot.
+func (e *ending) finish(o gate.Outcome) {
 	e.once.Do(func() {
 		e.s.Running.Remove(e.token)
 		e.ticket.Done(o)
-		if e.keyed {
-			e.s.Memory.Finish(e.key, r, e.status, e.s.Now())
-		}
 	})
 }
 
@@ -61,9 +54,9 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
-		b.e.finish(b.e.answered(), gate.Answered)
+		b.e.finish(b.e.answered())
 	default:
-		b.e.finish(gate.Failed, gate.Lost)
+		b.e.finish(gate.Failed)
 	}
 	return n, err
 }
@@ -72,7 +65,7 @@
 // wanted any more.
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.e.finish(gate.CallerGone, gate.Answered)
+	b.e.finish(gate.CallerGone)
 	return err
 }
 
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -1,6 +1,5 @@
 // Package backend speaks to the backend server on this host. Every request
-// for that server passes here: it enters the gate, is checked against the
-// memory of idempotency keys, and is sent once.
+// for that server passes here: it enters the gate and is sent once.
 package backend
 
 import (
@@ -26,7 +25,6 @@
 	Host    string
 	Service string
 	Gate    *gate.Gate
-	Memory  *gate.Memory
 	// Pool holds the connections to the backend server.
 	Pool    *http1.Pool
 	Running *Running
@@ -39,30 +37,21 @@
 	Now         func() time.Time
 }
 
-// Do runs a call at the backend server. It fails with *call.NotRun,
-// *call.Unknown or *call.Repeat. The slot at the server is held until the
+// Do runs a call at the backend server. It fails with *call.NotRun or
+// *call.Unknown. The slot at the server is held until the
 // answer's body ends or is closed.
 func (s *Server) Do(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
 	if err := s.check(ctx, c); err != nil {
 		return nil, err
 	}
-	k, keyed := s.memoryKey(c)
-	if keyed {
-		if err := s.begin(k); err != nil {
-			return nil, err
-		}
-	}
 	t, err := s.Gate.Enter(ctx, gate.Call{
 		Account: c.Account, Service: c.Service, IdempotencyKey: c.Key,
 		Idempotent: c.Idempotent, Deadline: c.Deadline, ArrivedAt: c.ArrivedAt,
 	})
 	if err != nil {
-		if keyed {
-			s.Memory.Finish(k, gate.NotStarted, 0, s.Now())
-		}
 		return nil, refusal(err)
 	}
-	return s.send(ctx, c, r, &ending{s: s, ticket: t, key: k, keyed: keyed})
+	return s.send(ctx, c, r, &ending{s: s, ticket: t})
 }
 
 // check refuses calls that this host may not run.
@@ -87,32 +76,6 @@
 	return nil
 }
 
-func (s *Server) memoryKey(c call.Call) (gate.Key, bool) {
-	if c.Key == "" || c.Idempotent {
-		return gate.Key{}, false
-	}
-	return gate.Key{Service: c.Service, Account: c.Account, Value: c.Key}, true
-}
-
-// begin claims an idempotency key. Only the key's owner may run it.
-func (s *Server) begin(k gate.Key) error {
-	a := s.Memory.Begin(k, s.Now())
-	switch a.Verdict {
-	case gate.Run:
-		return nil
-	case gate.Running:
-		return &call.Repeat{}
-	case gate.Done:
-		return &call.Repeat{Status: a.Status}
-	case gate.Full:
-		return &call.NotRun{Reason: string(gate.MemoryFull), Final: true}
-	case gate.Elsewhere:
-		return &call.NotRun{Reason: string(gate.NotOwner)}
-	default:
-		return &call.Unknown{Reason: "an earlier request with this key may have run"}
-	}
-}
-
 func refusal(err error) error {
 	var f *gate.Refusal
 	if errors.As(err, &f) {
--- /dev/null
+++ b/internal/call/body.go
@@ -0,0 +1,96 @@
+package call
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// restBytes and restTimeout bound what is read of a body that nobody
+	// wants any more.
+	restBytes   = 64 << 10
+	restTimeout = 20 * time.Millisecond
+)
+
+// A Body is a request's body that another goroutine sends on while the
+// handler answers. After Release no read reaches the connection any more:
+// net/http panics when the body of a full-duplex request is read while it
+// already waits for the next request.
+type Body struct {
+	r io.ReadCloser
+	w http.ResponseWriter
+
+	// reading is held while a read is in progress.
+	reading sync.Mutex
+	mu      sync.Mutex
+	// released is set by Release; later reads fail.
+	released bool
+	// ended is set once the body was read to its end.
+	ended bool
+}
+
+// NewBody makes the request full duplex and guards its body. A request
+// without a body is left as it is.
+func NewBody(w http.ResponseWriter, r *http.Request) *Body {
+	b := &Body{r: r.Body, w: w, ended: r.ContentLength == 0}
+	if !b.ended {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		r.Body = b
+	}
+	return b
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.isReleased() {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	n, err := b.r.Read(p)
+	if err != nil {
+		b.mu.Lock()
+		b.ended = err == io.EOF
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The server closes the body itself.
+func (b *Body) Close() error { return nil }
+
+func (b *Body) isReleased() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.released
+}
+
+// Release ends all reading before the handler returns. A short rest of the
+// body is read, so that the connection can be used again. Otherwise, or if a
+// read waits for the client, the connection closes after the answer.
+func (b *Body) Release() {
+	b.mu.Lock()
+	b.released = true
+	ended := b.ended
+	b.mu.Unlock()
+	if ended {
+		return
+	}
+	c := http.NewResponseController(b.w)
+	if !b.reading.TryLock() {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		b.reading.Lock()
+	}
+	defer b.reading.Unlock()
+	_ = c.Flush()
+	_ = c.SetReadDeadline(time.Now().Add(restTimeout))
+	n, err := io.CopyN(io.Discard, b.r, restBytes)
+	if err == nil || !errors.Is(err, io.EOF) || n == restBytes {
+		// net/http must not find the end of the body after the handler: it
+		// would wait for the next request twice and panic.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- /dev/null
+++ b/internal/caller/claims.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/once"
+)
+
+const (
+	// claimRounds is how often the witnesses that did not answer are asked.
+	// Connections that went silent are replaced after each round.
+	claimRounds = 3
+	// reportWorkers and reportQueue bound the reports of ended requests. A
+	// report that finds the queue full is dropped: repeats are then answered
+	// as possibly running instead of by their status.
+	reportWorkers = 8
+	reportQueue   = 4096
+)
+
+// Claims asks the witnesses of idempotency keys for consent. Its exported
+// fields are set before first use.
+type Claims struct {
+	Self    string
+	Witness *once.Witness
+	// Panel returns the witnesses of the configuration in force.
+	Panel func() *once.Panel
+	// Host returns a listed host.
+	Host func(id string) (hosts.Host, bool)
+	// Ask sends a claim or a report to another host.
+	Ask func(ctx context.Context, to hosts.Host, in peer.ClaimRequest) (peer.ClaimReply, error)
+	Now func() time.Time
+
+	reports pond.Pool
+}
+
+// NewClaims returns claims whose reports are sent by a bounded pool.
+func NewClaims() *Claims {
+	return &Claims{Now: time.Now, reports: pond.NewPool(reportWorkers, pond.WithQueueSize(reportQueue), pond.WithNonBlocking(true))}
+}
+
+// Close waits for the reports that are under way.
+func (c *Claims) Close() { c.reports.StopAndWait() }
+
+// A Claim is the right to run one request with a key.
+type Claim struct {
+	c         *Claims
+	key       once.Key
+	holder    string
+	witnesses []string
+}
+
+// Begin claims a key. It fails with *call.NotRun, *call.Repeat or
+// *call.Unknown.
+func (c *Claims) Begin(ctx context.Context, k once.Key) (*Claim, error) {
+	x := &Claim{c: c, key: k, holder: rand.Text(), witnesses: c.Panel().Witnesses(k)}
+	t := once.NewTally(x.witnesses)
+	for round := 0; round < claimRounds && ctx.Err() == nil && t.Decide(false) == once.Waiting; round++ {
+		c.round(ctx, x, t)
+	}
+	d := t.Decide(true)
+	if d == once.Run {
+		return x, nil
+	}
+	x.End(once.NotRun, 0)
+	switch d {
+	case once.Repeated:
+		return nil, &call.Repeat{Status: t.Status}
+	case once.Running:
+		return nil, &call.Repeat{}
+	case once.Undecided:
+		return nil, &call.Unknown{Reason: "an earlier request with this key may have run"}
+	default:
+		return nil, &call.NotRun{Reason: "NoMajority"}
+	}
+}
+
+// vote is one witness's answer.
+type vote struct {
+	host   string
+	answer once.Answer
+}
+
+// round asks the witnesses that have not answered yet and returns once the
+// answers decide or all have come.
+func (c *Claims) round(ctx context.Context, x *Claim, t *once.Tally) {
+	open := t.Unanswered()
+	votes := make(chan vote, len(open))
+	for _, id := range open {
+		if id == c.Self {
+			votes <- vote{id, c.Witness.Claim(x.key, x.holder, c.Now())}
+			continue
+		}
+		// A call that is broken off costs its connection, so it outlives the
+		// decision; ClaimTimeout bounds it.
+		go func() { votes <- vote{id, c.ask(context.WithoutCancel(ctx), id, x)} }()
+	}
+	for range open {
+		select {
+		case v := <-votes:
+			t.Add(v.host, v.answer)
+		case <-ctx.Done():
+			return
+		}
+		if t.Decide(false) != once.Waiting {
+			return
+		}
+	}
+}
+
+func (c *Claims) ask(ctx context.Context, id string, x *Claim) once.Answer {
+	h, ok := c.Host(id)
+	if !ok {
+		return once.Answer{}
+	}
+	r, err := c.Ask(ctx, h, peer.ClaimRequest{Key: x.key, Holder: x.holder})
+	if err != nil {
+		return once.Answer{}
+	}
+	return r.Answer
+}
+
+// End tells the witnesses how the request ended. It does not wait.
+func (x *Claim) End(o once.Outcome, status int) {
+	c := x.c
+	for _, id := range x.witnesses {
+		if id == c.Self {
+			c.Witness.Finish(x.key, x.holder, o, status)
+			continue
+		}
+		h, ok := c.Host(id)
+		if !ok {
+			continue
+		}
+		_ = c.reports.Go(func() {
+			_, _ = c.Ask(context.Background(), h, peer.ClaimRequest{Key: x.key, Holder: x.holder, Ended: true, Outcome: o, Status: status})
+		})
+	}
+}
--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -10,8 +10,8 @@
 	"quetzaldock.example/quetzaldock/internal/call"
 	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/pkg/balance"
-	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/gate"
+	"quetzaldock.example/quetzaldock/pkg/once"
 )
 
 // silentAfter is how long an idempotent attempt may go without an answer
@@ -23,13 +23,11 @@
 // exported fields are set before first use.
 type Dispatcher struct {
 	// Self is the ID of this host.
-	Self     string
-	Snapshot func() *config.Snapshot
-	Chooser  *balance.Chooser
-	Budget   *balance.RetryBudget
-	Owners   *Owners
-	// Address returns the call address of a host that is listed.
-	Address func(host string) (string, bool)
+	Self    string
+	Chooser *balance.Chooser
+	Budget  *balance.RetryBudget
+	// Claims makes sure that a key's request runs at most once.
+	Claims *Claims
 	// Local runs a call at this host's own backend server.
 	Local func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error)
 	// LocalLoad returns the load of this host's own gate.
@@ -39,8 +37,30 @@
 }
 
 // Do runs the call and returns the answer's header; its body streams. It
-// fails with *call.NotRun only if no attempt can have run.
+// fails with *call.NotRun only if no attempt can have run. A non-idempotent
+// request with a key runs only with the consent of the key's witnesses.
 func (d *Dispatcher) Do(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+	if c.Key == "" || c.Idempotent {
+		return d.run(ctx, c, r)
+	}
+	x, err := d.Claims.Begin(ctx, once.Key{Service: c.Service, Account: c.Account, Value: c.Key})
+	if err != nil {
+		return nil, err
+	}
+	a, err := d.run(ctx, c, r)
+	switch {
+	case err == nil:
+		x.End(once.Answered, a.StatusCode)
+	case isNotRun(err):
+		x.End(once.NotRun, 0)
+	default:
+		x.End(once.Unknown, 0)
+	}
+	return a, err
+}
+
+// run makes attempts until one is answered or no further one is allowed.
+func (d *Dispatcher) run(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
 	d.Budget.Earned(c.Service)
 	b, err := newReplay(r)
 	if err != nil {
@@ -49,9 +69,9 @@
 	var tried []string
 	unknown := false
 	for n := 1; ; n++ {
-		t, err := d.pick(c, tried)
-		if err != nil {
-			return nil, d.last(err, unknown)
+		t, ok := d.Chooser.Pick(c.Service, tried)
+		if !ok {
+			return nil, d.last(&call.NotRun{Reason: "NoHost"}, unknown)
 		}
 		a, err := d.attempt(ctx, t, c, r, b)
 		if err == nil && !d.shouldRetryAnswer(a, c, n, b) {
@@ -85,28 +105,6 @@
 	return err
 }
 
-// pick returns the host for the next attempt. A non-idempotent request with a
-// key runs at the key's owner only.
-func (d *Dispatcher) pick(c call.Call, tried []string) (balance.Target, error) {
-	if c.Key != "" && !c.Idempotent {
-		return d.owner(c)
-	}
-	t, ok := d.Chooser.Pick(c.Service, tried)
-	if !ok {
-		return balance.Target{}, &call.NotRun{Reason: "NoHost"}
-	}
-	return t, nil
-}
-
-func (d *Dispatcher) owner(c call.Call) (balance.Target, error) {
-	id := d.Owners.Of(d.Snapshot(), gate.Key{Service: c.Service, Account: c.Account, Value: c.Key})
-	addr, ok := d.Address(id)
-	if !ok && id != d.Self {
-		return balance.Target{}, &call.NotRun{Reason: "OwnerUnreachable"}
-	}
-	return balance.Target{ID: id, Service: c.Service, CallAddress: addr}, nil
-}
-
 // attempt runs the call at one host.
 func (d *Dispatcher) attempt(ctx context.Context, t balance.Target, c call.Call, r *http.Request, b *replay) (*http.Response, error) {
 	d.Chooser.Started(t.ID)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -18,8 +18,13 @@
 	"quetzaldock.example/quetzaldock/pkg/config"
 )
 
-// maxKeyBytes is the longest client key that is looked at.
-const maxKeyBytes = 256
+const (
+	// maxKeyBytes is the longest client key or Idempotency-Key looked at.
+	maxKeyBytes = 256
+	// maxTimeout bounds the time limit of a call. It is well below the time
+	// for which witnesses remember keys, so that no call outlives its record.
+	maxTimeout = 5 * time.Minute
+)
 
 // A Handler serves the caller listener. Its exported fields are set before
 // first use.
@@ -83,9 +88,7 @@
 		return
 	}
 	s.Header().Set(call.HeaderID, c.ID)
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
+	defer call.NewBody(w, r).Release()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	// A caller that stops reading must not hold a slot past the deadline.
@@ -214,7 +217,7 @@
 		}
 		limit = time.Duration(ms) * time.Millisecond
 	}
-	d := now.Add(limit)
+	d := now.Add(min(limit, maxTimeout))
 	if c.Deadline.IsZero() || d.Before(c.Deadline) {
 		c.Deadline = d
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -16,6 +16,8 @@
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/gate"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/once"
 )
 
 // build makes the parts of the node and joins them.
@@ -46,8 +48,6 @@
 
 func (n *Node) buildGate() {
 	n.gate = gate.New()
-	n.ownership = gate.NewOwnership(n.Settings.Host)
-	n.memory = gate.NewMemory(n.ownership.Since)
 	p := http1.New(n.Settings.BackendAddress)
 	p.IdleClosed = func(k int) {
 		for range k {
@@ -62,7 +62,7 @@
 		return d.DialContext(ctx, "tcp", n.Settings.BackendAddress)
 	}
 	n.backend = &backend.Server{
-		Host: n.Settings.Host, Service: n.Settings.Service, Gate: n.gate, Memory: n.memory,
+		Host: n.Settings.Host, Service: n.Settings.Service, Gate: n.gate,
 		Pool: p, Running: backend.NewRunning(), Snapshot: n.snapshot, WaitVersion: n.waitVersion, Now: time.Now,
 	}
 }
@@ -70,7 +70,7 @@
 func (n *Node) buildCaller() {
 	n.chooser = balance.New(n.Settings.Zone)
 	n.budget = balance.NewRetryBudget()
-	n.owners = &caller.Owners{}
+	n.buildClaims()
 	n.calls = peercall.NewClient()
 	n.calls.TLS, n.calls.Started = n.TLS, n.started
 	n.calls.SawVersion = n.distributor.Replica.SawVersion
@@ -87,8 +87,8 @@
 		},
 		Zone: n.Settings.Zone, Now: time.Now,
 		Dispatcher: &caller.Dispatcher{
-			Self: n.Settings.Host, Snapshot: n.snapshot, Chooser: n.chooser, Budget: n.budget, Owners: n.owners,
-			Address: n.address, Local: n.backend.Do, LocalLoad: n.localLoad, Peers: n.calls, Now: time.Now,
+			Self: n.Settings.Host, Chooser: n.chooser, Budget: n.budget,
+			Claims: n.claims, Local: n.backend.Do, LocalLoad: n.localLoad, Peers: n.calls, Now: time.Now,
 		},
 	}
 }
@@ -135,11 +135,34 @@
 	return ""
 }
 
-func (n *Node) address(host string) (string, bool) {
+// listed returns the host list's entry of a host.
+func (n *Node) listed(host string) (hosts.Host, bool) {
 	v := n.view.Load()
 	if v == nil {
-		return "", false
+		return hosts.Host{}, false
 	}
 	h, ok := v.byID[host]
-	return h.CallAddress, ok
+	return h, ok
+}
+
+func (n *Node) buildClaims() {
+	n.witness = once.NewWitness(n.Settings.Host)
+	n.claims = caller.NewClaims()
+	n.claims.Self, n.claims.Witness = n.Settings.Host, n.witness
+	n.claims.Host, n.claims.Ask = n.listed, n.control.Claim
+	n.claims.Panel = func() *once.Panel {
+		if v := n.view.Load(); v != nil {
+			return v.panel
+		}
+		return &once.Panel{}
+	}
+	n.controlIn.Claim = n.handleClaim
+}
+
+func (n *Node) handleClaim(_ context.Context, _ string, in peer.ClaimRequest) (peer.ClaimReply, error) {
+	if in.Ended {
+		n.witness.Finish(in.Key, in.Holder, in.Outcome, in.Status)
+		return peer.ClaimReply{}, nil
+	}
+	return peer.ClaimReply{Answer: n.witness.Claim(in.Key, in.Holder, time.Now())}, nil
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -60,8 +60,8 @@
 
 func ptr[T any](v T) *T { return &v }
 
-// document describes n hosts of the service "desk" over the zones z0 and z1,
-// and two accounts.
+// document describes n hosts over the zones z0 and z1, every third of the
+// service "records" and the others of "desk", and two accounts.
 func document(n int, keys map[string]string) config.Document {
 	d := config.Document{
 		Defaults: &config.Values{
@@ -70,14 +70,19 @@
 			Rate: ptr(1000.0), Burst: ptr(200.0),
 		},
 		Zones:    []config.AvailabilityZone{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
-		Services: []config.Service{{Name: "desk"}},
+		Services: []config.Service{{Name: "desk"}, {Name: "records"}},
 		Routes: []config.Route{
+			{Prefix: "/records", Service: "records"},
 			{Prefix: "/entries", Service: "desk"},
 			{Prefix: "/public", Service: "desk", Open: true},
 		},
 	}
 	for i := range n {
-		d.Hosts = append(d.Hosts, config.Host{ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: fmt.Sprintf("z%d", i%2)})
+		service := "desk"
+		if i%3 == 2 {
+			service = "records"
+		}
+		d.Hosts = append(d.Hosts, config.Host{ID: fmt.Sprintf("host-%d", i), Service: service, Zone: fmt.Sprintf("z%d", i%2)})
 	}
 	for _, name := range []string{"club-a", "club-b"} {
 		key, digest, err := config.NewKey()
@@ -92,6 +97,12 @@
 
 // startFleet runs n hosts and waits until all are ready.
 func startFleet(t testing.TB, n int) *fleet {
+	t.Helper()
+	return startFleetWith(t, n, func(*node.Settings) {})
+}
+
+// startFleetWith is startFleet with changed settings.
+func startFleetWith(t testing.TB, n int, change func(s *node.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, platform: standin.NewPlatform(), ran: standin.NewExecutions(),
@@ -106,7 +117,7 @@
 	t.Cleanup(f.platform.Close)
 	f.publish()
 	for i := range n {
-		f.members = append(f.members, f.newMember(i))
+		f.members = append(f.members, f.newMember(i, change))
 	}
 	f.publishHosts()
 	for _, m := range f.members {
@@ -125,16 +136,18 @@
 	return f
 }
 
-func (f *fleet) newMember(i int) *member {
-	b := standin.NewBackendServer(fmt.Sprintf("desk-%d", i), f.ran)
+func (f *fleet) newMember(i int, change func(s *node.Settings)) *member {
+	b := standin.NewBackendServer(f.doc.Hosts[i].ID, f.ran)
 	b.ServiceTime, b.Seed = 2*time.Millisecond, uint64(i+1)
 	assert.NilError(f.t, b.Start())
 	f.t.Cleanup(b.Close)
-	n := node.New(node.Settings{
-		Host: f.doc.Hosts[i].ID, Service: "desk", Zone: f.doc.Hosts[i].Zone,
+	s := node.Settings{
+		Host: f.doc.Hosts[i].ID, Service: f.doc.Hosts[i].Service, Zone: f.doc.Hosts[i].Zone,
 		CallerAddress: "127.0.0.1:0", CallAddress: "127.0.0.1:0", ControlAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		BackendAddress: b.Address(), PlatformURL: f.platform.URL(), LogLevel: "Info", StopMs: 5000,
-	})
+	}
+	change(&s)
+	n := node.New(s)
 	n.Log = slog.New(slog.NewTextHandler(f.logs, nil))
 	assert.NilError(f.t, n.Bind())
 	b.CallerAddress = n.Settings.CallerAddress
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/gate"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/once"
 	"quetzaldock.example/quetzaldock/pkg/quota"
 )
 
@@ -81,11 +82,10 @@
 	meter       *peer.Meter
 	calls       *peercall.Client
 	gate        *gate.Gate
-	memory      *gate.Memory
-	ownership   *gate.Ownership
+	witness     *once.Witness
+	claims      *caller.Claims
 	chooser     *balance.Chooser
 	budget      *balance.RetryBudget
-	owners      *caller.Owners
 	backend     *backend.Server
 	handler     *caller.Handler
 	quota       *quota.Runner
@@ -186,6 +186,7 @@
 
 // close releases what is left after all duties have ended.
 func (n *Node) close() {
+	n.claims.Close()
 	n.calls.Close()
 	n.control.Close()
 	n.backend.Pool.Close()
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -7,6 +7,7 @@
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/gate"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/once"
 )
 
 // A view is the configuration and host list that the node has applied. It is
@@ -16,6 +17,7 @@
 	list     *hosts.List
 	stopping bool
 	byID     map[string]hosts.Host
+	panel    *once.Panel
 	// zoneOutSince is when the node learned that its zone was taken out; zero
 	// while the zone is in.
 	zoneOutSince time.Time
@@ -39,6 +41,11 @@
 	for _, h := range l.Hosts {
 		v.byID[h.ID] = h
 	}
+	v.panel = once.NewPanel(s)
+	if old != nil && old.snapshot == s {
+		v.panel = old.panel
+	}
+	n.witness.Configure(v.panel, time.Now())
 	if isZoneOut(s, n.Settings.Zone) {
 		v.zoneOutSince = time.Now()
 		if old != nil && !old.zoneOutSince.IsZero() {
@@ -50,7 +57,6 @@
 	n.chooser.Update(v.targets(n.Settings.Host))
 	for name := range s.Services {
 		n.budget.Configure(name, s.Effective(name, n.Settings.Zone, "").RetryPercent)
-		n.ownership.Change(name, n.owners.Hosts(s)[name], time.Now())
 	}
 	if old == nil || old.snapshot != s {
 		n.configureQuota(s)
--- a/internal/peercall/server.go
+++ b/internal/peercall/server.go
@@ -58,9 +58,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
+	defer call.NewBody(w, r).Release()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	a, err := s.Do(ctx, c, r)
--- /dev/null
+++ b/pkg/once/once_test.go
@@ -0,0 +1,245 @@
+package once_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/once"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// snapshot returns a configuration with the hosts of one service.
+func snapshot(ids ...string) *config.Snapshot {
+	s := &config.Snapshot{Hosts: map[string]*config.Host{}}
+	for i, id := range ids {
+		s.Hosts[id] = &config.Host{ID: id, Service: "desk", Zone: fmt.Sprintf("z%d", i%3)}
+	}
+	return s
+}
+
+// keyAt returns a key made at t.
+func keyAt(t time.Time, n byte) once.Key {
+	var u uuid.UUID
+	ms := t.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6], u[8], u[15] = 0x70, 0x80, n
+	return once.Key{Service: "desk", Account: "club", Value: u.String()}
+}
+
+// settled returns a witness that has been one for long.
+func settled(id string, p *once.Panel) *once.Witness {
+	w := once.NewWitness(id)
+	w.Configure(p, start.Add(-time.Hour))
+	return w
+}
+
+// Guards against witnesses that fall together with one zone, and against a
+// zone move that changes them.
+func TestWitnessesAreInDifferentZones(t *testing.T) {
+	s := snapshot("a", "b", "c", "d", "e", "f", "g", "h", "i")
+	s.Zones = map[string]*config.AvailabilityZone{"z0": {Name: "z0"}}
+	p := once.NewPanel(s)
+	for n := range byte(50) {
+		k := keyAt(start, n)
+		w := p.Witnesses(k)
+		assert.Equal(t, len(w), 3)
+		zones := map[string]bool{}
+		for _, id := range w {
+			zones[s.Hosts[id].Zone] = true
+		}
+		assert.Equal(t, len(zones), 3)
+		s.Zones["z0"].Out = true
+		assert.DeepEqual(t, once.NewPanel(s).Witnesses(k), w)
+	}
+	assert.Equal(t, len(once.NewPanel(snapshot("a")).Witnesses(keyAt(start, 1))), 1)
+}
+
+// Guards against a witness that vouches for keys from before it could know.
+func TestWitnessAbstains(t *testing.T) {
+	p := once.NewPanel(snapshot("a", "b", "c"))
+	for _, c := range []struct {
+		name string
+		key  once.Key
+		at   time.Time
+		want once.Verdict
+	}{
+		{"key from before the process", keyAt(start.Add(-time.Second), 1), start.Add(time.Minute), once.Abstained},
+		{"key from the settling time", keyAt(start.Add(9*time.Second), 2), start.Add(time.Minute), once.Abstained},
+		{"fresh key", keyAt(start.Add(30*time.Second), 3), start.Add(31 * time.Second), once.Granted},
+		{"key of a clock that is ahead", keyAt(start.Add(40*time.Second), 4), start.Add(30 * time.Second), once.Abstained},
+		{"key older than the window", keyAt(start.Add(time.Minute), 5), start.Add(12 * time.Minute), once.Abstained},
+		{"key without a time, early", once.Key{Service: "desk", Value: "x"}, start.Add(5 * time.Minute), once.Abstained},
+		{"key without a time, late", once.Key{Service: "desk", Value: "y"}, start.Add(11 * time.Minute), once.Granted},
+		{"other service", once.Key{Service: "other", Value: "y"}, start.Add(11 * time.Minute), once.Abstained},
+	} {
+		w := once.NewWitness("a")
+		w.Configure(p, start)
+		assert.Equal(t, w.Claim(c.key, "h", c.at).Verdict, c.want, c.name)
+	}
+}
+
+// Guards against a memory without bound, and against a key that is forgotten
+// while a repeat would still be granted.
+func TestWitnessMemoryIsBoundedAndForgetsInTime(t *testing.T) {
+	w := settled("a", once.NewPanel(snapshot("a", "b", "c")))
+	w.MaxKeys = 2
+	k := keyAt(start, 1)
+	assert.Equal(t, w.Claim(k, "h1", start).Verdict, once.Granted)
+	w.Finish(k, "h1", once.Answered, 201)
+	assert.Equal(t, w.Claim(keyAt(start, 2), "h2", start).Verdict, once.Granted)
+	assert.Equal(t, w.Claim(keyAt(start, 3), "h3", start).Verdict, once.Full)
+	assert.Equal(t, w.Claim(k, "h4", start.Add(time.Minute)), once.Answer{Verdict: once.Done, Status: 201})
+	later := start.Add(once.Window + 3*time.Second)
+	assert.Equal(t, w.Claim(k, "h5", later).Verdict, once.Abstained)
+	assert.Equal(t, w.Len(), 0)
+}
+
+// Guards against two majorities without a common witness while nodes still
+// disagree about the published hosts.
+func TestNewWitnessSettlesBeforeItVouches(t *testing.T) {
+	former, next := once.NewPanel(snapshot("a", "b", "c")), once.NewPanel(snapshot("a", "b", "d"))
+	w := map[string]*once.Witness{}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w[id] = settled(id, former)
+		w[id].Configure(next, start)
+	}
+	at := start.Add(time.Second)
+	k := keyAt(at, 1)
+	x, y := once.NewTally(former.Witnesses(k)), once.NewTally(next.Witnesses(k))
+	x.Add("b", w["b"].Claim(k, "x", at))
+	// The former witness has not heard of the change.
+	x.Add("c", settled("c", former).Claim(k, "x", at))
+	assert.Equal(t, x.Decide(false), once.Run)
+	for _, id := range []string{"a", "b", "d"} {
+		y.Add(id, w[id].Claim(k, "y", at))
+	}
+	assert.Equal(t, y.Decide(true), once.Running)
+}
+
+// TestAtMostOnce lets several callers claim the same keys over three
+// witnesses that restart, lose messages and answer late, while the published
+// hosts change. It guards against a key that two holders may run.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newClaimFleet(r)
+		for range rapid.IntRange(5, 120).Draw(r, "steps") {
+			f.step()
+		}
+	})
+}
+
+// claimFleet is the witnesses of a small fleet and the claims under way.
+type claimFleet struct {
+	r         *rapid.T
+	now       time.Time
+	ids       []string
+	panel     *once.Panel
+	former    *once.Panel
+	changedAt time.Time
+	witnesses map[string]*once.Witness
+	keys      []once.Key
+	open      []*claim
+	ran       map[once.Key]string
+	holders   int
+}
+
+// A claim is one holder's attempt; it keeps asking until it is decided.
+type claim struct {
+	key    once.Key
+	holder string
+	tally  *once.Tally
+}
+
+func newClaimFleet(r *rapid.T) *claimFleet {
+	f := &claimFleet{r: r, now: start, ids: []string{"a", "b", "c", "d"}, witnesses: map[string]*once.Witness{}, ran: map[once.Key]string{}}
+	f.panel = once.NewPanel(snapshot(f.ids...))
+	for _, id := range f.ids {
+		f.witnesses[id] = settled(id, f.panel)
+	}
+	return f
+}
+
+func (f *claimFleet) step() {
+	f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 200, 1000, 11000}).Draw(f.r, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 11).Draw(f.r, "what") {
+	case 0:
+		f.restart()
+	case 1:
+		f.changeHosts()
+	case 2, 3:
+		f.keys = append(f.keys, keyAt(f.now, byte(len(f.keys))))
+	case 4, 5:
+		f.begin()
+	default:
+		f.ask()
+	}
+}
+
+func (f *claimFleet) restart() {
+	id := rapid.SampledFrom(f.ids).Draw(f.r, "restarted")
+	w := once.NewWitness(id)
+	w.Configure(f.panel, f.now)
+	f.witnesses[id] = w
+}
+
+// changeHosts publishes another set. Callers go on with the former panel for
+// up to 4 s, as long as a configuration takes to be in force everywhere. The
+// next change follows once the former panel is out of use.
+func (f *claimFleet) changeHosts() {
+	if f.now.Sub(f.changedAt) < once.Settle {
+		return
+	}
+	n := rapid.IntRange(2, len(f.ids)).Draw(f.r, "hosts")
+	f.former, f.changedAt = f.panel, f.now
+	f.panel = once.NewPanel(snapshot(f.ids[len(f.ids)-n:]...))
+	for _, w := range f.witnesses {
+		w.Configure(f.panel, f.now)
+	}
+}
+
+func (f *claimFleet) begin() {
+	if len(f.keys) == 0 {
+		return
+	}
+	k := rapid.SampledFrom(f.keys).Draw(f.r, "key")
+	p := f.panel
+	if f.former != nil && f.now.Sub(f.changedAt) < 4*time.Second && rapid.Bool().Draw(f.r, "behind") {
+		p = f.former
+	}
+	f.holders++
+	f.open = append(f.open, &claim{k, fmt.Sprint(f.holders), once.NewTally(p.Witnesses(k))})
+}
+
+// ask delivers one claim's request to one witness; the answer may be lost.
+func (f *claimFleet) ask() {
+	if len(f.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(f.open)-1).Draw(f.r, "claim")
+	c := f.open[i]
+	id := rapid.SampledFrom(c.tally.Witnesses).Draw(f.r, "witness")
+	a := f.witnesses[id].Claim(c.key, c.holder, f.now)
+	if rapid.IntRange(0, 4).Draw(f.r, "lost") == 0 {
+		return
+	}
+	c.tally.Add(id, a)
+	switch c.tally.Decide(false) {
+	case once.Waiting:
+		return
+	case once.Run:
+		if other := f.ran[c.key]; other != "" {
+			f.r.Fatalf("key %s runs for holder %s and for %s", c.key.Value, other, c.holder)
+		}
+		f.ran[c.key] = c.holder
+	}
+	f.open = append(f.open[:i], f.open[i+1:]...)
+}
