--- /dev/null
+++ b/pkg/balance/chooser_test.go
@@ -0,0 +1,165 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	os.Exit(m.Run())
+}
+
+// newChooser returns a chooser of zone z0 on a fake clock.
+func newChooser(seed uint64, now *time.Time) *Chooser {
+	c := New("z0")
+	c.Rand = rand.New(rand.NewPCG(seed, 4))
+	c.Now = func() time.Time { return *now }
+	return c
+}
+
+func targets(n, zones int) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, Target{ID: fmt.Sprint("h", i), Service: "s", Zone: fmt.Sprint("z", i%zones)})
+	}
+	return out
+}
+
+// Guards against calls to hosts that take no new work, and against refusing a
+// call while a host is left, in any order of events.
+func TestPickKeepsItsPromisesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		now := time.Unix(0, 0)
+		c := newChooser(rapid.Uint64().Draw(r, "seed"), &now)
+		all := targets(6, 3)
+		c.Update(all)
+		id := func() int { return rapid.IntRange(0, 5).Draw(r, "host") }
+		r.Repeat(map[string]func(*rapid.T){
+			"update": func(r *rapid.T) {
+				all = targets(6, 3)
+				for i := range all {
+					all[i].Out = rapid.Bool().Draw(r, "out")
+					all[i].Leaving = rapid.Bool().Draw(r, "leaving")
+				}
+				c.Update(all)
+			},
+			"finished": func(r *rapid.T) {
+				h := all[id()].ID
+				c.Started(h)
+				res := Result(rapid.IntRange(0, int(Canceled)).Draw(r, "result"))
+				c.Finished(h, res, Load{Running: rapid.IntRange(0, 20).Draw(r, "running"), Permits: rapid.IntRange(0, 12).Draw(r, "permits")})
+			},
+			"wait": func(r *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(r, "ms")) * time.Millisecond)
+			},
+			"": func(r *rapid.T) {
+				exclude := []string{all[id()].ID, all[id()].ID}
+				left := 0
+				for _, h := range all {
+					if !h.Out && !h.Leaving && h.ID != exclude[0] && h.ID != exclude[1] {
+						left++
+					}
+				}
+				h, ok := c.Pick("s", exclude)
+				assert.Equal(r, ok, left > 0)
+				assert.Assert(r, !h.Out && !h.Leaving && h.ID != exclude[0] && h.ID != exclude[1])
+				assert.Assert(r, len(c.Ejected("s")) <= 3)
+			},
+		})
+	})
+}
+
+// spread picks for calls that end at once and returns each host's share. The
+// hosts in broken fail.
+func spread(c *Chooser, now *time.Time, calls int, broken map[string]bool) map[string]float64 {
+	share := map[string]float64{}
+	for range calls {
+		*now = now.Add(time.Millisecond)
+		h, _ := c.Pick("s", nil)
+		share[h.ID] += 1 / float64(calls)
+		c.Started(h.ID)
+		if broken[h.ID] {
+			c.Finished(h.ID, Failed, Load{})
+		} else {
+			c.Finished(h.ID, Good, Load{Permits: 12})
+		}
+	}
+	return share
+}
+
+// Guards against a fault elsewhere, such as this node's own network, that
+// ejects all hosts and overloads the last one.
+func TestEjectionLeavesHalfOfTheHosts(t *testing.T) {
+	for _, limit := range []float64{0.5, 1} {
+		now := time.Unix(0, 0)
+		c := newChooser(1, &now)
+		c.EjectShare = limit
+		c.Update(targets(9, 1))
+		all := map[string]bool{}
+		for i := range 9 {
+			all[fmt.Sprint("h", i)] = true
+		}
+		spread(c, &now, 2000, all)
+		t.Logf("all of 9 fail, floor at %v: %d ejected", 1-limit, len(c.Ejected("s")))
+		assert.Equal(t, len(c.Ejected("s")) <= 4, limit == 0.5)
+	}
+}
+
+// Guards against hosts that only looked dead and never get calls again, and
+// against failing hosts that keep getting them.
+func TestHostsThatLookedDeadReturn(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newChooser(1, &now)
+	c.Update(targets(9, 1))
+	broken := map[string]bool{"h0": true, "h1": true, "h2": true}
+	spread(c, &now, 1000, broken)
+	during := spread(c, &now, 60_000, broken)
+	c.EjectAfter = 1 << 30
+	c.peers["h0"].ejections, c.peers["h0"].ejectedUntil, c.peers["h0"].rampFrom = 0, now, time.Time{}
+	without := spread(c, &now, 1000, broken)
+	c.EjectAfter = 5
+	spread(c, &now, 80_000, nil)
+	after := spread(c, &now, 9000, nil)
+	t.Logf("share of a dead host: %.4f, without ejection %.4f; after its return %.4f of fair %.4f", during["h0"], without["h0"], after["h0"], 1.0/9)
+	for id := range broken {
+		assert.Check(t, during[id] < 0.01, "%s gets %.4f of the calls while dead", id, during[id])
+		assert.Check(t, after[id] > 0.08, "%s gets %.4f of the calls after its return", id, after[id])
+	}
+	assert.Check(t, without["h0"] > 0.05)
+}
+
+// Guards against a returning host that gets its full share at once.
+func TestReturningHostIsRamped(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := newChooser(1, &now)
+	all := targets(4, 1)
+	all[0].Out = true
+	c.Update(all)
+	c.Update(targets(4, 1))
+	first := spread(c, &now, 1000, nil)["h0"]
+	spread(c, &now, 9000, nil)
+	last := spread(c, &now, 1000, nil)["h0"]
+	t.Logf("share in the first second %.3f, after the ramp %.3f", first, last)
+	assert.Assert(t, first < 0.08 && last > 0.2)
+}
+
+func BenchmarkPick(b *testing.B) {
+	c := New("z0")
+	c.Update(targets(12, 3))
+	b.ReportAllocs()
+	for b.Loop() {
+		h, _ := c.Pick("s", nil)
+		c.Started(h.ID)
+		c.Finished(h.ID, Good, Load{Running: 3, Permits: 12})
+	}
+}
