experiment: report reasons, seconds and backend servers

Cause: a run with failures did not say when, why and where they happened.

Change: the report counts refusals and failures by what was said, each second with its p99, and each backend server's counts.

--- a/internal/experiment/action.go
+++ b/internal/experiment/action.go
@@ -5,28 +5,29 @@
 
 // The actions.
 const (
-	Publish        Action = "Publish"
-	ZoneOut        Action = "ZoneOut"
-	ZoneIn         Action = "ZoneIn"
-	HostOut        Action = "HostOut"
-	HostIn         Action = "HostIn"
-	WithdrawKey    Action = "WithdrawKey"
-	GrantKey       Action = "GrantKey"
-	RestartBackend Action = "RestartBackend"
-	SilenceBackend Action = "SilenceBackend"
-	SourceRefuse   Action = "SourceRefuse"
-	SourceFail     Action = "SourceFail"
-	SourceHang     Action = "SourceHang"
-	SourceStale    Action = "SourceStale"
-	SourceBack     Action = "SourceBack"
-	CrossNext      Action = "CrossNext"
-	KillNode       Action = "KillNode"
-	StartNode      Action = "StartNode"
-	StopNode       Action = "StopNode"
-	RestartNodes   Action = "RestartNodes"
-	PartitionZone  Action = "PartitionZone"
-	HealZone       Action = "HealZone"
-	SilencePeers   Action = "SilencePeers"
+	Publish         Action = "Publish"
+	ZoneOut         Action = "ZoneOut"
+	ZoneIn          Action = "ZoneIn"
+	HostOut         Action = "HostOut"
+	HostIn          Action = "HostIn"
+	WithdrawKey     Action = "WithdrawKey"
+	GrantKey        Action = "GrantKey"
+	RestartBackend  Action = "RestartBackend"
+	RestartBackends Action = "RestartBackends"
+	SilenceBackend  Action = "SilenceBackend"
+	SourceRefuse    Action = "SourceRefuse"
+	SourceFail      Action = "SourceFail"
+	SourceHang      Action = "SourceHang"
+	SourceStale     Action = "SourceStale"
+	SourceBack      Action = "SourceBack"
+	CrossNext       Action = "CrossNext"
+	KillNode        Action = "KillNode"
+	StartNode       Action = "StartNode"
+	StopNode        Action = "StopNode"
+	RestartNodes    Action = "RestartNodes"
+	PartitionZone   Action = "PartitionZone"
+	HealZone        Action = "HealZone"
+	SilencePeers    Action = "SilencePeers"
 )
 
 // What the target of an action names.
@@ -40,7 +41,7 @@
 // targets says what the target of each action names.
 var targets = map[Action]string{
 	Publish: targetNone, ZoneOut: targetZone, ZoneIn: targetZone, HostOut: targetHost, HostIn: targetHost,
-	WithdrawKey: targetAccount, GrantKey: targetAccount, RestartBackend: targetHost, SilenceBackend: targetHost,
+	WithdrawKey: targetAccount, GrantKey: targetAccount, RestartBackend: targetHost, RestartBackends: targetNone, SilenceBackend: targetHost,
 	SourceRefuse: targetNone, SourceFail: targetNone, SourceHang: targetNone, SourceStale: targetNone,
 	SourceBack: targetNone, CrossNext: targetNone, KillNode: targetHost, StartNode: targetHost, StopNode: targetHost,
 	RestartNodes: targetNone, PartitionZone: targetZone, HealZone: targetZone, SilencePeers: targetNone,
--- a/internal/experiment/compose_fleet.go
+++ b/internal/experiment/compose_fleet.go
@@ -34,6 +34,9 @@
 			return nil
 		},
 		RestartBackend: func(id string) error { return c.byID[id].backend.Restart() },
+		RestartBackends: func() error {
+			return c.each(func(m *member) error { return m.backend.Restart() })
+		},
 		SilenceBackend: func(id string) error {
 			c.byID[id].backend.Silence()
 			return nil
--- a/internal/experiment/events.go
+++ b/internal/experiment/events.go
@@ -149,7 +149,7 @@
 		return act(e.Target)
 	}
 	all := map[Action]func() error{
-		RestartNodes: f.RestartNodes, SilencePeers: f.SilencePeers, CrossNext: f.CrossNext,
+		RestartNodes: f.RestartNodes, RestartBackends: f.RestartBackends, SilencePeers: f.SilencePeers, CrossNext: f.CrossNext,
 	}
 	if act := all[e.Do]; act != nil {
 		return act()
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -33,9 +33,11 @@
 	Source         func(f standin.Fault) error
 	CrossNext      func() error
 	RestartBackend func(host string) error
-	SilenceBackend func(host string) error
-	KillNode       func(host string) error
-	StartNode      func(host string) error
+	// RestartBackends restarts all backend servers at once.
+	RestartBackends func() error
+	SilenceBackend  func(host string) error
+	KillNode        func(host string) error
+	StartNode       func(host string) error
 	// StopNode is a planned stop.
 	StopNode func(host string) error
 	// RestartNodes ends all nodes at once and starts them again.
--- a/internal/experiment/outcome.go
+++ b/internal/experiment/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/standin"
@@ -59,6 +60,8 @@
 	Status   int
 	// Reason is the reason of a refusal as not run, or "".
 	Reason string
+	// Detail says more about a failure.
+	Detail string
 	// Ingress is the host that was called, Host the host that ran the call.
 	Ingress string
 	Host    string
@@ -74,10 +77,17 @@
 // cause.
 func (r *Result) Added() time.Duration { return r.Done - r.Sent - r.Run }
 
+// maxDetail bounds Result.Detail in bytes.
+const maxDetail = 120
+
 // classify fills in the outcome of an answer.
 func (r *Result) classify(a *http.Response, body []byte, path string) {
 	r.Status = a.StatusCode
 	r.Reason = a.Header.Get(standin.HeaderNotRun)
+	if a.StatusCode != http.StatusOK {
+		line, _, _ := strings.Cut(string(body), "\n")
+		r.Detail = line[:min(len(line), maxDetail)]
+	}
 	switch a.StatusCode {
 	case http.StatusOK:
 		r.Outcome = r.verify(body, path)
@@ -117,6 +127,11 @@
 
 // classifyError fills in the outcome of a call without a whole answer.
 func (r *Result) classifyError(err error) {
+	root := err
+	for errors.Unwrap(root) != nil {
+		root = errors.Unwrap(root)
+	}
+	r.Detail = root.Error()
 	var op *net.OpError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -21,6 +21,8 @@
 	Calls      Row
 	Accounts   []Row
 	Classes    []Row
+	// Reasons counts refusals and failures by outcome and what was said.
+	Reasons map[string]int
 	// Served is the part of the calls within rate, with a valid key, that
 	// were answered; WrongfulRatio the part of them refused for the rate.
 	Served        float64
@@ -36,6 +38,7 @@
 	Added         Added
 	Control       Control
 	Source        standin.Counts
+	Backends      []Backend
 	Events        []EventRow
 	Seconds       []Second
 	Checks        []Check
@@ -85,6 +88,12 @@
 	Max      float64 // of the busiest node
 }
 
+// A Backend is what one backend server counted from its start.
+type Backend struct {
+	Host string
+	standin.BackendStats
+}
+
 // A Second is one second of the run.
 type Second struct {
 	At      int
@@ -93,6 +102,8 @@
 	Limited int
 	NotRun  int
 	Failed  int
+	// P99 is the 99th percentile of answered calls in milliseconds.
+	P99 float64
 }
 
 // An Aim is a measurement that was to be reached.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -70,6 +70,9 @@
 	report.measure(spec, d, results)
 	report.Events = s.rows
 	report.Source = f.SourceCounts()
+	for _, h := range f.Hosts {
+		report.Backends = append(report.Backends, Backend{h.ID, f.BackendStats(h.ID)})
+	}
 	var versions []Check
 	report.Convergence, versions = w.result()
 	report.Checks = r.check(results, s.barriers, versions)
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -14,8 +14,9 @@
 	Deployment string
 	Seed       uint64
 	RunMs      int
-	// WarmUpMs of load come before the measurement: nodes start with empty
-	// quota buckets and cold gates. Checks of promises include the warm-up.
+	// WarmUpMs of load come before the measurement: nodes start with cold
+	// gates, and the quota shares of newly published hosts rest for 10 s.
+	// Checks of promises include the warm-up.
 	WarmUpMs int
 	// Load is the part of its rate that each account sends.
 	Load float64
