gate, balance: Keep debts over configurations, add examples

Cause: each Configure forgot the idle accounts and with them what they owed, and the first one left the limit at 1 instead of ColdSlots. Change: weights are applied only when they changed, accounts with a weight are kept, the limit is at least ColdSlots after Configure. Tests of Enter with real goroutines and goleak, examples for embedding, zone trials in parallel and all with the target's bound of 0.999.

--- a/pkg/balance/zones_test.go
+++ b/pkg/balance/zones_test.go
@@ -268,40 +268,42 @@
 		zones   []int
 		out     string
 		service time.Duration
-		share   float64
 	}{
-		{"9 hosts in 4 zones, 2 out", []int{0, 0, 0, 1, 1, 2, 2, 3, 3}, "z1", 20 * time.Millisecond, 0.999},
-		{"9 hosts in 4 zones, 3 out", []int{0, 0, 0, 1, 1, 2, 2, 3, 3}, "z0", 20 * time.Millisecond, 0},
-		{"38 hosts in 19 zones, 2 out", many, "z1", 50 * time.Millisecond, 0.999},
+		{"9 hosts in 4 zones, 2 out", []int{0, 0, 0, 1, 1, 2, 2, 3, 3}, "z1", 20 * time.Millisecond},
+		{"9 hosts in 4 zones, 3 out", []int{0, 0, 0, 1, 1, 2, 2, 3, 3}, "z0", 20 * time.Millisecond},
+		{"38 hosts in 19 zones, 2 out", many, "z1", 50 * time.Millisecond},
 	} {
 		for seed := uint64(1); seed <= 2; seed++ {
-			f := newFleet(seed, c.zones, c.service)
-			f.offer(2.0 / 3 * float64(len(c.zones)) * slots / c.service.Seconds())
-			f.run(5 * time.Second)
-			before := f.busiest("")
-			f.publish(c.out)
-			f.run(3 * time.Second)
-			f.busiest("")
-			f.run(12 * time.Second)
-			lateWork := 0
-			for _, h := range f.hosts {
-				if h.Zone == c.out {
-					lateWork += h.served
+			t.Run(fmt.Sprint(c.name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(seed, c.zones, c.service)
+				f.offer(2.0 / 3 * float64(len(c.zones)) * slots / c.service.Seconds())
+				f.run(5 * time.Second)
+				before := f.busiest("")
+				f.publish(c.out)
+				f.run(3 * time.Second)
+				f.busiest("")
+				f.run(12 * time.Second)
+				lateWork := 0
+				for _, h := range f.hosts {
+					if h.Zone == c.out {
+						lateWork += h.served
+					}
 				}
-			}
-			during := f.busiest(c.out)
-			f.publish("")
-			f.run(15 * time.Second)
-			peak := 0
-			for _, h := range f.hosts {
-				peak = max(peak, h.peak)
-			}
-			share := float64(f.good) / float64(f.ended)
-			t.Logf("%s, seed %d: %d calls, served %.5f, refused %d; busiest host over mean %.3f before, %.3f during; most running %d; work 3 s after the zone went out: %d",
-				c.name, seed, f.ended, share, f.refused, before, during, peak, lateWork)
-			assert.Check(t, share >= c.share)
-			assert.Check(t, peak <= slots)
-			assert.Check(t, lateWork == 0)
+				during := f.busiest(c.out)
+				f.publish("")
+				f.run(15 * time.Second)
+				peak := 0
+				for _, h := range f.hosts {
+					peak = max(peak, h.peak)
+				}
+				share := float64(f.good) / float64(f.ended)
+				t.Logf("%d calls, served %.5f, refused %d; busiest host over mean %.3f before, %.3f during; most running %d; work 3 s after the zone went out: %d",
+					f.ended, share, f.refused, before, during, peak, lateWork)
+				assert.Check(t, share >= 0.999)
+				assert.Check(t, peak <= slots)
+				assert.Check(t, lateWork == 0)
+			})
 		}
 	}
 }
--- /dev/null
+++ b/pkg/gate/example_test.go
@@ -0,0 +1,76 @@
+package gate_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/gate"
+)
+
+// A program that runs beside a backend server puts each request through the
+// gate and reports how it ended.
+func Example() {
+	g := gate.New()
+	g.Configure(gate.Limits{Slots: 12, ColdSlots: 2, ConnectionsPerSecond: 100, QueuePerAccount: 64})
+
+	run := func(account string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		t, err := g.Enter(ctx, gate.Call{Account: account, Deadline: time.Now().Add(time.Second)})
+		if err != nil {
+			return err
+		}
+		// Send the request to the server here.
+		t.Done(gate.Good)
+		return nil
+	}
+	fmt.Println(run("club-a"))
+
+	g.SetState(gate.StateZoneOut)
+	var r *gate.Refusal
+	if errors.As(run("club-a"), &r) {
+		fmt.Println("not run:", r.Reason)
+	}
+	// Output:
+	// <nil>
+	// not run: ZoneOut
+}
+
+// An event loop offers calls without blocking.
+func ExampleGate_Offer() {
+	g := gate.New()
+	g.Configure(gate.Limits{Slots: 1, ColdSlots: 1, QueuePerAccount: 8})
+	first, _, _ := g.Offer(gate.Call{Account: "club-a"})
+	_, waiting, _ := g.Offer(gate.Call{Account: "club-b"})
+	fmt.Printf("%+v\n", g.Load())
+
+	first.Done(gate.Good)
+	<-waiting.Ready()
+	second, err := waiting.Result()
+	fmt.Println(second != nil, err)
+	// Output:
+	// {Running:1 Permits:1 Queued:1}
+	// true <nil>
+}
+
+// A host that owns a key runs its request once and answers repeats from
+// memory.
+func ExampleMemory() {
+	started := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	o := gate.NewOwnership("desk-1")
+	o.Change("desk", []string{"desk-1"}, started)
+	m := gate.NewMemory(o.Since)
+
+	now := started.Add(time.Hour)
+	k := gate.Key{Service: "desk", Account: "club-a", Value: "entry-4711"}
+	fmt.Println(m.Begin(k, now).Verdict == gate.Run)
+	fmt.Println(m.Begin(k, now).Verdict == gate.Running)
+	m.Finish(k, gate.Answered, 201, now)
+	fmt.Println(m.Begin(k, now).Status)
+	// Output:
+	// true
+	// true
+	// 201
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -7,6 +7,7 @@
 package gate
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -94,12 +95,12 @@
 	g := &Gate{Now: time.Now, WarmUp: 5 * time.Second, IdleReset: 10 * time.Second}
 	g.queues = queues{accounts: map[string]*account{}, burst: burstCalls}
 	g.Configure(Limits{Slots: 4, ColdSlots: 1, ConnectionsPerSecond: 100, QueuePerAccount: 64})
-	g.limit.permits = g.limits.ColdSlots
 	return g
 }
 
 // Configure changes the limits. Calls that run or wait are kept even where
-// the new limits would have refused them.
+// the new limits would have refused them. The map of weights must not be
+// changed afterwards.
 func (g *Gate) Configure(l Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -107,9 +108,11 @@
 	l.ColdSlots = min(max(1, l.ColdSlots), l.Slots)
 	l.ConnectionsPerSecond = max(1, l.ConnectionsPerSecond)
 	l.QueuePerAccount = max(1, l.QueuePerAccount)
+	if !maps.Equal(l.Weights, g.limits.Weights) {
+		g.queues.reweigh(l.Weights)
+	}
 	g.limits = l
-	g.limit.permits = min(max(g.limit.permits, 1), l.Slots)
-	g.queues.reweigh(l.Weights)
+	g.limit.permits = min(max(g.limit.permits, l.ColdSlots), l.Slots)
 	g.dispatch(g.Now())
 }
 
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"flag"
+	"math/rand/v2"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 )
 
@@ -82,3 +86,50 @@
 		cancel()
 	}
 }
+
+// Guards against slots that are lost, and goroutines that stay, when callers
+// give up at the same time as slots become free.
+func TestEnterLosesNoSlot(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := New()
+	g.Configure(Limits{Slots: 3, ColdSlots: 3, QueuePerAccount: 1000})
+	var running, over atomic.Int64
+	var all sync.WaitGroup
+	for i := range 64 {
+		all.Go(func() {
+			r := rand.New(rand.NewPCG(1, uint64(i)))
+			for range 50 {
+				ctx, cancel := context.WithCancel(context.Background())
+				wait := time.Duration(r.IntN(300)) * time.Microsecond
+				timer := time.AfterFunc(wait, cancel)
+				c := Call{Account: string(rune('a' + i%4))}
+				if r.IntN(2) == 0 {
+					c.Deadline = time.Now().Add(wait)
+				}
+				if ticket, err := g.Enter(ctx, c); err == nil {
+					if running.Add(1) > 3 {
+						over.Add(1)
+					}
+					running.Add(-1)
+					ticket.Done(Good)
+				}
+				timer.Stop()
+				cancel()
+			}
+		})
+	}
+	all.Wait()
+	assert.Equal(t, over.Load(), int64(0))
+	assert.DeepEqual(t, g.Load(), Load{Permits: 3})
+}
+
+// Guards against a gate that starts below what a cold server bears, or that
+// changes a warm limit with each configuration.
+func TestConfigureKeepsTheLimit(t *testing.T) {
+	g := New()
+	assert.Equal(t, g.Load().Permits, 1)
+	for _, c := range []struct{ slots, cold, want int }{{12, 2, 2}, {18, 3, 3}, {2, 1, 2}, {12, 1, 2}, {0, 0, 1}} {
+		g.Configure(Limits{Slots: c.slots, ColdSlots: c.cold})
+		assert.Equal(t, g.Load().Permits, c.want)
+	}
+}
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -81,8 +81,8 @@
 	return max(1, q.weights[name])
 }
 
-// reweigh applies new weights and forgets idle accounts, so that withdrawn
-// accounts don't accumulate.
+// reweigh applies new weights and forgets idle accounts that have none, so
+// that withdrawn accounts don't accumulate.
 func (q *queues) reweigh(weights map[string]float64) {
 	least := math.Inf(1)
 	for _, w := range weights {
@@ -96,7 +96,7 @@
 	}
 	for name, a := range q.accounts {
 		a.weight = q.weight(name)
-		if len(a.calls) == 0 {
+		if q.weights[name] == 0 && len(a.calls) == 0 {
 			delete(q.accounts, name)
 		}
 	}
