gate: Estimate waits by turn and leave a margin for the service time

The estimate also counted calls that are served later. Change: the wait is counted from the turns before the call; the service time counts with two spreads, at most half of the time left.

--- a/pkg/gate/fair_test.go
+++ b/pkg/gate/fair_test.go
@@ -61,3 +61,20 @@
 		t.Logf("greedy %s seed 1, first come: %s", name, text)
 	}
 }
+
+// Guards against an overload in which the server works only on calls that
+// nobody waits for any more.
+func TestOverloadKeepsTheServerUseful(t *testing.T) {
+	for _, timeout := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		g, c := newGate(12, 12)
+		s := newTrial(g, c, 1)
+		s.service = 20 * time.Millisecond
+		capacity := 12 / s.service.Seconds()
+		s.offer("a", "a", 2*capacity, timeout)
+		s.ticks()
+		s.run(20 * time.Second)
+		part := float64(s.clients["a"].good) / 20 / capacity
+		t.Logf("timeout %v: %.3f of the capacity answered in time", timeout, part)
+		assert.Check(t, part > 0.7)
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -171,7 +171,7 @@
 	if len(a.calls) >= g.limits.QueuePerAccount {
 		return nil, nil, Refuse(QueueFull)
 	}
-	if !c.Deadline.IsZero() && now.Add(g.expectedWait(a, &c)).After(c.Deadline) {
+	if !c.Deadline.IsZero() && g.tooLate(a, &c, c.Deadline.Sub(now)) {
 		return nil, nil, Refuse(Overloaded)
 	}
 	p := &Pending{gate: g, call: c, account: a, ready: make(chan struct{})}
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -33,8 +34,9 @@
 	turns []turn
 	// used is where the account's use of the server stands.
 	used virtual
-	// service is the moving average of the account's service time.
-	service time.Duration
+	// service is the moving average of the account's service time, and
+	// spread that of the distance from it.
+	service, spread time.Duration
 }
 
 // A turn is the right of an account to be served, lowest first.
@@ -111,10 +113,16 @@
 	q.queued++
 	q.seq++
 	p.charged = q.estimate(a)
+	a.turns = append(a.turns, turn{q.turn(a), q.seq})
+	q.charge(a, p.charged)
+}
+
+// turn returns where the account's next call will stand: at the virtual time
+// if the account has used no more than its share and a burst.
+func (q *queues) turn(a *account) virtual {
 	credit := virtual(q.burst * float64(q.mean()))
 	a.used = max(a.used, q.now-credit)
-	a.turns = append(a.turns, turn{max(a.used, q.now), q.seq})
-	q.charge(a, p.charged)
+	return max(a.used, q.now)
 }
 
 func (q *queues) charge(a *account, d time.Duration) {
@@ -205,6 +213,7 @@
 	if a == nil {
 		return
 	}
+	a.spread = average(a.spread, (d - a.service).Abs())
 	a.service = average(a.service, d)
 	if charged > 0 {
 		q.charge(a, min(d-charged, maxDebt*q.mean()))
@@ -219,25 +228,49 @@
 	return max(old+(d-old)/16, 1)
 }
 
-// expectedWait estimates how long a new call of the account would wait and
-// run: the calls ahead of it in its own queue, and what the other waiting
-// accounts are served meanwhile.
-func (g *Gate) expectedWait(a *account, c *Call) time.Duration {
+// tooLate reports whether a new call would probably not end in the time that
+// is left. It waits for the calls that are served before it and then runs; the
+// margin of two spreads keeps most calls that are let in from ending too late.
+// An account may have quick and slow calls, so the service time alone refuses
+// no call: it counts for half of the time that is left at most.
+func (g *Gate) tooLate(a *account, c *Call, left time.Duration) bool {
 	q := &g.queues
-	ahead := 1
+	n := 0.0
+	if q.turn(a) <= q.now {
+		n = q.aheadInShare()
+	} else {
+		n = q.aheadBeyondShare(a, c.Deadline)
+	}
+	wait := time.Duration((n + 1) / float64(max(1, g.limit.permits)) * float64(q.mean()))
+	return wait+min(q.estimate(a)+2*a.spread, left/2) > left
+}
+
+// aheadInShare counts the waiting calls of accounts inside their share.
+func (q *queues) aheadInShare() float64 {
+	n := 0
+	for _, e := range q.waiting {
+		n += sort.Search(len(e.turns), func(i int) bool { return e.turns[i].at > q.now })
+	}
+	return float64(n)
+}
+
+// aheadBeyondShare counts the account's own calls with earlier deadlines, and
+// what the others are served meanwhile, which is not more than they have
+// waiting.
+func (q *queues) aheadBeyondShare(a *account, deadline time.Time) float64 {
+	n := 0.0
 	for _, p := range a.calls {
-		if !p.call.Deadline.After(c.Deadline) && !p.call.Deadline.IsZero() {
-			ahead++
+		if !p.call.Deadline.IsZero() && !p.call.Deadline.After(deadline) {
+			n++
 		}
 	}
-	n := float64(ahead)
+	own := n + 1
 	for _, e := range q.waiting {
 		if e != a {
-			// Others can't delay the call by more than what they have waiting.
-			n += min(float64(ahead)*e.weight/a.weight, float64(len(e.calls)))
+			n += min(own*e.weight/a.weight, float64(len(e.calls)))
 		}
 	}
-	return time.Duration(n/float64(max(1, g.limit.permits))*float64(q.mean())) + q.estimate(a)
+	return n
 }
 
 // deadlines is a heap of calls, earliest deadline first; calls without a
