quota: test the limit under faults, refill in larger parts

Cause: no test yet showed that lending never admits too much, and a first measurement showed tokens lost between leader and root.

Change: a seeded driver with a fake clock (losses, repeats, messages up to 30 s late, pauses, restarts, partitions, differing placements, changes of hosts and limits) and a property test. Loans of tokens to a broker run longer than those it makes; leaders pass surplus on at once; a host that holds rate gives empty capacity back to have it refilled.

--- a/pkg/quota/broker.go
+++ b/pkg/quota/broker.go
@@ -49,6 +49,7 @@
 	seq      uint64
 	received time.Duration
 	base     time.Duration
+	broker   bool
 	offers   map[string]*Offer
 }
 
@@ -102,7 +103,7 @@
 		k = &kid{}
 		b.kids[party] = k
 	}
-	k.seq, k.received, k.base = r.Seq, now, base
+	k.seq, k.received, k.base, k.broker = r.Seq, now, base, r.Broker
 	k.offers = map[string]*Offer{}
 	short := false
 	for i := range r.Entries {
@@ -152,7 +153,7 @@
 
 // loanTerms are the terms a loan may have, as counted by the lender.
 var loanTerms = []time.Duration{
-	TokenTerm + TokenTerm/10, 500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond,
+	500 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond,
 	1700 * time.Millisecond, 2100 * time.Millisecond, 2500 * time.Millisecond, Term,
 }
 
@@ -161,7 +162,10 @@
 func (p *pool) lend(party string, o *Offer, g *Grant, k *kid, now time.Duration) bool {
 	b := p.book
 	had := b.out[party]
-	ends := make([]time.Duration, 0, len(loanTerms))
+	ends := make([]time.Duration, 0, len(loanTerms)+1)
+	if ends = append(ends, k.received+TokenTerm); k.broker {
+		ends[0] = k.received + BrokerTokenTerm
+	}
 	for _, t := range loanTerms {
 		ends = append(ends, k.received+t)
 	}
@@ -191,9 +195,7 @@
 	b.recompute()
 	for _, l := range raised {
 		d := l.until - k.received
-		if d -= margin(d); d >= time.Millisecond {
-			g.Loan = append(g.Loan, Level{TermMs: uint32(d / time.Millisecond), Rate: l.v.r, Capacity: l.v.c})
-		}
+		g.Loan = appendLevel(g.Loan, d-margin(d), l.v)
 	}
 	left := max(o.WantTokens-g.Tokens, 0)
 	p.wants[party] = want{v: ask, tokens: left, at: now}
@@ -215,6 +217,25 @@
 	return Amount(b.k * (float64(c) / float64(b.v.c)))
 }
 
+// surplusRate is the rate of an idle pool from which on it is lent upward at
+// once rather than with the next report.
+const surplusRate = One / 2
+
+// Surplus reports whether the broker holds quota that its members don't want,
+// so that a report to the root should be sent at once.
+func (b *Broker) Surplus() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.instant()
+	for _, p := range b.books {
+		p.book.advance(now)
+		if p.book.v.r >= surplusRate || p.book.k >= float64(One)/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // retryMs estimates when the pool has a whole token again.
 func (p *pool) retryMs(now time.Duration) uint32 {
 	b := p.book
@@ -305,15 +326,11 @@
 }
 
 // offer plans the exchange with the parent: the pool keeps what members want
-// and could not get, and what it usually grants between reports.
+// and could not get.
 func (p *pool) offer(x *uplink, o *Offer, now time.Duration) {
 	b := p.book
 	b.advance(now)
-	rate := b.use.sample(now)
 	var target volume
-	if rate > 1 {
-		target = volume{Units(rate), Units(rate / 10)}
-	}
 	var tokens Amount
 	for party, w := range p.wants {
 		if now-w.at > wantAge {
@@ -324,7 +341,7 @@
 			tokens += w.tokens
 		}
 	}
-	x.plan(b, o, target, now)
+	x.plan(b, o, target, 0, now)
 	if tokens > 0 && now >= p.retry {
 		if need := tokens - Amount(b.k); need > 0 {
 			o.WantTokens = (need + One - 1) / One * One
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -189,7 +189,10 @@
 	if c < 1 {
 		return volume{}
 	}
-	return volume{Units(min(rate*0.95, a.rate*0.9)), Units(c)}
+	// A small bucket spills much of a rate close to its use. The rest of the
+	// use is fetched as tokens.
+	r := min(rate, a.rate*0.9) * max(1-2/c, 0)
+	return volume{Units(r), Units(c)}
 }
 
 // Tick brings shares and estimates up to date and reports whether the node
@@ -280,20 +283,28 @@
 	b := a.book
 	b.advance(now)
 	rate := b.use.sample(now)
-	x.plan(b, o, a.target(rate), now)
-	b.spilt = 0
-	n := len(a.queue)
+	t := a.target(rate)
+	n := Amount(len(a.queue))
 	if n == 0 && a.missed > 0 {
 		n = 1
 	}
 	a.missed = 0
-	if n > 0 && now >= a.retryAt {
-		n += int(rate * prefetch.Seconds())
-		// Whole tokens only: a fraction would lie idle here.
-		if need := Amount(n)*One - Amount(b.k); need > 0 {
-			o.WantTokens = (need + One - 1) / One * One
-		}
+	if n > 0 {
+		n += Amount(rate * prefetch.Seconds())
+	}
+	// Half of the capacity is filled when a quarter or less is left. Whole
+	// tokens only: a fraction would lie idle here.
+	need := n*One - Amount(b.k)
+	if Amount(b.k) < t.c/4 {
+		need = max(need, t.c/2-Amount(b.k))
 	}
+	need = max(need+One-1, 0) / One * One
+	if now < a.retryAt {
+		need = 0
+	}
+	x.plan(b, o, t, need, now)
+	o.WantTokens = need
+	b.spilt = 0
 }
 
 // Settle books the reply to the last report to a parent. It reports whether a
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -42,6 +42,8 @@
 	Seq     uint64  `cbor:"2,keyasint"`
 	Base    Base    `cbor:"3,keyasint"`
 	Entries []Offer `cbor:"4,keyasint,omitempty"`
+	// Broker is set when the sender lends on what it borrows.
+	Broker bool `cbor:"5,keyasint,omitempty"`
 }
 
 // An Offer is a report's entry for one account. An account that is left out
@@ -249,3 +251,13 @@
 	}
 	return s.clean()
 }
+
+// appendLevel adds a step unless its term, rounded down, adds nothing to the
+// step before. What does not fit is left out, which shortens the loan.
+func appendLevel(ls []Level, term time.Duration, v volume) []Level {
+	ms := term / time.Millisecond
+	if ms <= 0 || len(ls) == maxLevels || len(ls) > 0 && uint32(ms) <= ls[len(ls)-1].TermMs {
+		return ls
+	}
+	return append(ls, Level{TermMs: uint32(ms), Rate: v.r, Capacity: v.c})
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -32,8 +32,12 @@
 	// which a node still trusts that it knew every recent configuration.
 	ConfirmationGap = 5 * time.Second
 	// TokenTerm is the term of capacity that is lent only to carry tokens for
-	// waiting requests. It returns to the broker without a message.
-	TokenTerm = 100 * time.Millisecond
+	// waiting requests. It returns to the broker without a message. It covers
+	// two exchanges and MaxWait.
+	TokenTerm = 80 * time.Millisecond
+	// BrokerTokenTerm is TokenTerm for loans to a broker, which lends the
+	// tokens on within that time.
+	BrokerTokenTerm = 130 * time.Millisecond
 	// MaxWait bounds how long a request waits for a token.
 	MaxWait = 25 * time.Millisecond
 )
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -22,6 +22,8 @@
 	avoidFor = 2 * time.Second
 	// surplusGap is the least distance of reports that only lend or renew.
 	surplusGap = 100 * time.Millisecond
+	// leaderGap is surplusGap for a broker.
+	leaderGap = 50 * time.Millisecond
 )
 
 // A Runner exchanges a node's reports: its ledger's with the leader of its
@@ -60,6 +62,7 @@
 	mu    sync.Mutex
 	begun uint64
 	ended uint64
+	last  time.Time     // when the last round began
 	done  chan struct{} // closed at the end of each round
 }
 
@@ -70,9 +73,17 @@
 	}
 }
 
+// idle reports whether no round began for d.
+func (e *exchanger) idle(d time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.last) >= d
+}
+
 func (e *exchanger) begin() {
 	e.mu.Lock()
 	e.begun++
+	e.last = time.Now()
 	e.mu.Unlock()
 }
 
@@ -326,10 +337,11 @@
 		return Reply{}, err
 	}
 	reply, short := r.Broker.Handle(from, report)
-	if !short {
-		return reply, nil
+	_, ok := r.root()
+	if !short && ok && r.leader.idle(leaderGap) && r.Broker.Surplus() {
+		r.leader.wake()
 	}
-	if _, ok := r.root(); ok {
+	if short && ok {
 		ctx, cancel := context.WithTimeout(ctx, parentWait)
 		defer cancel()
 		r.leader.round(ctx)
--- /dev/null
+++ b/pkg/quota/sim_test.go
@@ -0,0 +1,556 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+)
+
+// A sim runs ledgers and brokers on a fake clock with a faulty network. It
+// repeats the Runner's decisions without goroutines, so a seed gives one
+// course of events.
+type sim struct {
+	rng    *rand.Rand
+	now    time.Duration
+	events events
+	count  uint64
+	nodes  []*node
+	byID   map[string]*node
+
+	delay func(from, to *node) time.Duration
+	loss  float64 // of messages, 0 to 1
+	twice float64
+	late  float64 // delayed by up to 30 s
+	cut   func(a, b *node) bool
+
+	current *config.Snapshot
+	limits  map[string]limit
+	refs    map[string]*reference
+	ideals  map[string]*reference
+	stats   map[string]*tally
+	faults  []string
+
+	bytes, messages map[string]int // by receiving or sending node
+	measure         bool
+}
+
+// A tally counts one account's requests.
+type tally struct{ offered, admitted, refused, wrongful int }
+
+// A reference is the exact bucket that all admitted requests together must
+// never overdraw.
+type reference struct {
+	rate, burst, tokens float64
+	// fast is by how much the fastest clock of the fleet runs fast. A host
+	// refills by its own clock, so the bound holds in terms of that clock.
+	fast float64
+	last time.Duration
+}
+
+func (r *reference) advance(now time.Duration) {
+	r.tokens = min(r.burst, r.tokens+r.rate*(1+r.fast)*(now-r.last).Seconds())
+	r.last = now
+}
+
+func (r *reference) take(now time.Duration) bool {
+	r.advance(now)
+	if r.tokens < 1-1e-6 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	o := *e
+	x := o[len(o)-1]
+	*e = o[:len(o)-1]
+	return x
+}
+
+func (s *sim) at(t time.Duration, fn func()) {
+	s.count++
+	heap.Push(&s.events, event{max(t, s.now), s.count, fn})
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.fn()
+	}
+	s.now = until
+}
+
+// A node is one host of the sim.
+type node struct {
+	s         *sim
+	host      hosts.Host
+	run       int // incarnation; 0 while down
+	runs      int
+	drift     float64
+	paused    time.Duration
+	placement *hosts.Placement
+	isolated  bool // from the configuration source
+	confirmed time.Duration
+	snap      *config.Snapshot
+	active    *config.Snapshot
+	accepted  time.Duration
+
+	ledger  *Ledger
+	broker  *Broker
+	member  side
+	leader  side
+	begun   uint64
+	held    []*heldReply
+	waiters []*simWait
+	avoid   map[string]time.Duration
+}
+
+// A side is the state of one of the node's two exchanges.
+type side struct {
+	token    int
+	inflight bool
+	poked    bool
+	next     time.Duration
+	last     time.Duration
+}
+
+type heldReply struct {
+	round uint64
+	sent  bool
+	send  func()
+}
+
+type simWait struct {
+	account string
+	a       *account
+	w       *waiter
+	ideal   bool
+}
+
+func newSim(seed uint64, ids []string, zones int, accounts map[string]limit) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*node{}, limits: accounts,
+		refs: map[string]*reference{}, ideals: map[string]*reference{}, stats: map[string]*tally{},
+		bytes: map[string]int{}, messages: map[string]int{},
+		delay: func(_, _ *node) time.Duration { return time.Millisecond },
+		cut:   func(_, _ *node) bool { return false },
+	}
+	s.current = snapshot(1, ids, accounts)
+	for name, l := range accounts {
+		s.refs[name] = &reference{rate: l.rate, burst: l.burst, tokens: l.burst}
+		s.ideals[name] = &reference{rate: l.rate, burst: l.burst, tokens: l.burst}
+		s.stats[name] = &tally{}
+	}
+	list := &hosts.List{Revision: 1}
+	for i, id := range ids {
+		list.Hosts = append(list.Hosts, hosts.Host{ID: id, Zone: fmt.Sprintf("z-%02d", i%zones), State: hosts.Live})
+	}
+	p := hosts.NewPlacement(list)
+	for _, h := range list.Hosts {
+		n := &node{s: s, host: h, drift: 1, placement: p, avoid: map[string]time.Duration{}}
+		s.nodes = append(s.nodes, n)
+		s.byID[h.ID] = n
+		n.start()
+	}
+	return s
+}
+
+func (n *node) clock(t time.Duration) time.Time {
+	return time.Unix(1_000_000, 0).Add(time.Duration(float64(t) * n.drift))
+}
+
+// on runs fn at an instant unless the process ended before; a paused process
+// runs it when it wakes.
+func (n *node) on(t time.Duration, fn func()) {
+	run := n.run
+	n.s.at(t, func() {
+		switch {
+		case n.run != run:
+		case n.s.now < n.paused:
+			n.on(n.paused, fn)
+		default:
+			fn()
+		}
+	})
+}
+
+func (n *node) start() {
+	n.runs++
+	n.run = n.runs
+	now := func() time.Time { return n.clock(n.s.now) }
+	n.ledger = &Ledger{Now: now, Boot: n.s.rng.Uint64()>>16 | 1, Wake: func() { n.poke(&n.member, n.exchangeMember) }}
+	n.ledger.Allowed = func(t time.Time) bool { return t.Sub(n.clock(n.confirmed)) < 3*time.Second }
+	n.broker = &Broker{Now: now, Boot: n.s.rng.Uint64()>>16 | 1, Age: func() (uint64, time.Duration) {
+		if n.active == nil {
+			return 0, 0
+		}
+		return n.active.Version, now().Sub(n.clock(n.accepted))
+	}}
+	n.member, n.leader, n.held, n.waiters = side{}, side{}, nil, nil
+	n.snap, n.active, n.confirmed = nil, nil, -time.Hour
+	n.ledger.Start()
+	n.on(n.s.now+rand1(n.s, 500*time.Millisecond), n.source)
+	n.on(n.s.now+rand1(n.s, tickInterval), n.tick)
+	n.on(n.s.now+rand1(n.s, reportInterval), n.tickLeader)
+}
+
+func (n *node) stop() { n.run = 0 }
+
+func rand1(s *sim, d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
+func (n *node) source() {
+	if !n.isolated {
+		n.snap, n.confirmed = n.s.current, n.s.now
+	}
+	n.on(n.s.now+500*time.Millisecond, n.source)
+}
+
+func (n *node) configure() {
+	if n.snap != n.active {
+		n.active, n.accepted = n.snap, n.s.now
+		n.ledger.Configure(n.active, n.host.ID)
+	}
+}
+
+func (n *node) tick() {
+	n.configure()
+	urgent := n.ledger.Tick() && n.s.now-n.member.last >= surplusGap
+	if n.s.now >= n.member.next || urgent {
+		n.poke(&n.member, n.exchangeMember)
+	}
+	n.on(n.s.now+tickInterval, n.tick)
+}
+
+func (n *node) tickLeader() {
+	if n.s.now >= n.leader.next {
+		n.poke(&n.leader, n.exchangeLeader)
+	}
+	n.on(max(n.leader.next, n.s.now+time.Millisecond), n.tickLeader)
+}
+
+func (n *node) poke(d *side, exchange func()) {
+	if d.poked {
+		return
+	}
+	d.poked = true
+	n.on(n.s.now, func() {
+		if !d.inflight {
+			exchange()
+		}
+	})
+}
+
+func (n *node) interval() time.Duration { return reportInterval*9/10 + rand1(n.s, reportInterval/5) }
+
+func (n *node) avoided(id string) bool { return n.s.now < n.avoid[id] }
+
+func (n *node) parent() (*node, bool) {
+	h, ok := n.placement.Parents[n.host.ID]
+	if !ok || n.avoided(h.ID) {
+		for _, o := range n.placement.Leaders[n.host.Zone] {
+			if !n.avoided(o.ID) {
+				h, ok = o, true
+				break
+			}
+		}
+	}
+	return n.s.byID[h.ID], ok
+}
+
+func (n *node) root() (*node, bool) {
+	p := n.placement
+	if !p.IsLeader(n.host.ID, n.host.Zone) || p.Root.ID == n.host.ID {
+		return nil, false
+	}
+	return n.s.byID[p.Root.ID], true
+}
+
+func (n *node) exchangeMember() {
+	n.configure()
+	d := &n.member
+	d.poked, d.last, d.next = false, n.s.now, n.s.now+n.interval()
+	to, ok := n.parent()
+	if !ok {
+		return
+	}
+	r, ok := n.ledger.Report(to.host.ID)
+	if !ok {
+		return
+	}
+	n.exchange(d, to, r, func(reply Reply) bool {
+		again := n.ledger.Settle(to.host.ID, reply)
+		n.collect()
+		return again
+	}, n.exchangeMember)
+}
+
+func (n *node) exchangeLeader() {
+	d := &n.leader
+	d.poked, d.last, d.next = false, n.s.now, n.s.now+n.interval()
+	n.begun++
+	round := n.begun
+	to, ok := n.root()
+	if !ok {
+		n.release(round)
+		return
+	}
+	n.exchange(d, to, n.broker.Report(to.host.ID), func(reply Reply) bool {
+		again := n.broker.Settle(to.host.ID, reply)
+		n.release(round)
+		return again
+	}, n.exchangeLeader)
+}
+
+// release sends the replies that waited for a round of the leader.
+func (n *node) release(round uint64) {
+	for _, h := range n.held {
+		if h.round <= round && !h.sent {
+			h.sent = true
+			h.send()
+		}
+	}
+	keep := n.held[:0]
+	for _, h := range n.held {
+		if !h.sent {
+			keep = append(keep, h)
+		}
+	}
+	n.held = keep
+}
+
+func (n *node) exchange(d *side, to *node, r Report, settle func(Reply) bool, again func()) {
+	d.token++
+	token := d.token
+	d.inflight = true
+	n.on(n.s.now+callTimeout, func() {
+		if d.inflight && d.token == token {
+			d.inflight = false
+			n.avoid[to.host.ID] = n.s.now + avoidFor
+			if d.poked {
+				again()
+			}
+		}
+	})
+	b, err := r.Encode()
+	must(err)
+	n.s.send(n, to, b, func() {
+		got, err := DecodeReport(b)
+		must(err)
+		to.handle(n, got, func(reply Reply) {
+			b, err := reply.Encode()
+			must(err)
+			n.s.send(to, n, b, func() {
+				got, err := DecodeReply(b)
+				must(err)
+				more := settle(got)
+				if d.inflight && d.token == token {
+					d.inflight = false
+					delete(n.avoid, to.host.ID)
+					if more || d.poked {
+						again()
+					}
+				}
+			})
+		})
+	})
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (n *node) handle(from *node, r Report, answer func(Reply)) {
+	reply, short := n.broker.Handle(from.host.ID, r)
+	if _, ok := n.root(); !short || !ok {
+		answer(reply)
+		if ok && n.s.now-n.leader.last >= leaderGap && n.broker.Surplus() {
+			n.poke(&n.leader, n.exchangeLeader)
+		}
+		return
+	}
+	h := &heldReply{round: n.begun + 1, send: func() {
+		n.broker.Retry(from.host.ID, r, &reply)
+		answer(reply)
+	}}
+	n.held = append(n.held, h)
+	n.poke(&n.leader, n.exchangeLeader)
+	n.on(n.s.now+parentWait, func() {
+		if !h.sent {
+			h.sent = true
+			h.send()
+		}
+	})
+}
+
+// send delivers fn at the receiver, perhaps late, twice or never.
+func (s *sim) send(from, to *node, b []byte, fn func()) {
+	if from == to {
+		to.on(s.now, fn)
+		return
+	}
+	if s.measure {
+		s.bytes[from.host.ID] += len(b)
+		s.bytes[to.host.ID] += len(b)
+		s.messages[from.host.ID]++
+		s.messages[to.host.ID]++
+	}
+	if to.run == 0 || s.cut(from, to) || s.rng.Float64() < s.loss {
+		return
+	}
+	d := s.delay(from, to)
+	if s.late > 0 && s.rng.Float64() < s.late {
+		d += rand1(s, 30*time.Second)
+	}
+	to.on(s.now+d, fn)
+	if s.twice > 0 && s.rng.Float64() < s.twice {
+		to.on(s.now+d+rand1(s, 4*time.Second), fn)
+	}
+}
+
+// call is a request of an account that arrives at a node.
+func (n *node) call(name string) {
+	s := n.s
+	t := s.stats[name]
+	t.offered++
+	ideal := s.ideals[name].take(s.now)
+	a := n.ledger.all()[name]
+	now := n.ledger.instant()
+	if n.run == 0 || s.now < n.paused || a == nil || !n.ledger.allowed(now) {
+		s.refuse(name, ideal)
+		return
+	}
+	if a.take(now) {
+		s.admit(n, name)
+		return
+	}
+	w, wake := a.enqueue(now, now+MaxWait)
+	if w == nil {
+		s.refuse(name, ideal)
+		return
+	}
+	if wake {
+		n.ledger.wake()
+	}
+	sw := &simWait{name, a, w, ideal}
+	n.waiters = append(n.waiters, sw)
+	n.sleep(sw, a.pause(now, w.until))
+}
+
+func (n *node) sleep(sw *simWait, pause time.Duration) {
+	n.on(n.s.now+pause, func() {
+		if sw.w == nil {
+			return
+		}
+		pause, over := n.ledger.look(sw.a, sw.w)
+		n.collect()
+		if sw.w == nil {
+			return
+		}
+		if over {
+			sw.a.leave(sw.w)
+			sw.w = nil
+			n.s.refuse(sw.account, sw.ideal)
+			return
+		}
+		n.sleep(sw, pause)
+	})
+}
+
+// collect notes the waiters that were served at this instant.
+func (n *node) collect() {
+	keep := n.waiters[:0]
+	for _, sw := range n.waiters {
+		if sw.w != nil && sw.w.done {
+			sw.w = nil
+			n.s.admit(n, sw.account)
+		}
+		if sw.w != nil {
+			keep = append(keep, sw)
+		}
+	}
+	n.waiters = keep
+}
+
+func (s *sim) refuse(name string, ideal bool) {
+	s.stats[name].refused++
+	if ideal {
+		s.stats[name].wrongful++
+	}
+}
+
+func (s *sim) admit(n *node, name string) {
+	s.stats[name].admitted++
+	if !s.refs[name].take(s.now) {
+		s.faults = append(s.faults, fmt.Sprintf("%v: %s admits for %s over the limit (%.6f tokens)", s.now, n.host.ID, name, s.refs[name].tokens))
+	}
+}
+
+// checkSums notes a fault if the effective rates or capacities exceed what is
+// published.
+func (s *sim) checkSums() {
+	for name, ref := range s.refs {
+		var sum volume
+		for _, n := range s.nodes {
+			if n.run == 0 {
+				continue
+			}
+			now := n.ledger.instant()
+			if a := n.ledger.all()[name]; a != nil && n.ledger.Allowed(n.clock(s.now)) {
+				a.book.advance(now)
+				sum = sum.plus(a.book.v.floor())
+			}
+			if p := n.broker.books[name]; p != nil {
+				p.book.advance(n.broker.instant())
+				sum = sum.plus(p.book.v.floor())
+			}
+		}
+		if sum.r > Units(ref.rate) || sum.c > Units(ref.burst) {
+			s.faults = append(s.faults, fmt.Sprintf("%v: %s has rate %.3f of %.3f, capacity %.3f of %.3f", s.now, name, sum.r.Tokens(), ref.rate, sum.c.Tokens(), ref.burst))
+		}
+	}
+}
+
+// publish puts a configuration into force. The bound is the larger of the two
+// until every node follows it.
+func (s *sim) publish(ids []string, accounts map[string]limit) {
+	s.current = snapshot(s.current.Version+1, ids, accounts)
+	for name, l := range accounts {
+		r := s.refs[name]
+		r.advance(s.now)
+		r.rate, r.burst = max(r.rate, l.rate), max(r.burst, l.burst)
+	}
+	v := s.current
+	s.at(s.now+ActivationWait, func() {
+		if s.current != v {
+			return
+		}
+		for name, l := range accounts {
+			r := s.refs[name]
+			r.advance(s.now)
+			r.rate, r.burst = l.rate, l.burst
+			r.advance(s.now)
+		}
+	})
+}
--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -28,7 +28,7 @@
 	x.seq++
 	x.waiting, x.sent = true, now
 	x.told = map[string]volume{}
-	return Report{Boot: boot, Seq: x.seq, Base: x.base}
+	return Report{Boot: boot, Seq: x.seq, Base: x.base, Broker: !x.owner}
 }
 
 // usable reports whether a deposit counted from the base is worth sending.
@@ -78,8 +78,9 @@
 }
 
 // plan fills the offer of one account: what the child lends, gives back,
-// wants back and wants to borrow so that it keeps target for itself.
-func (x *uplink) plan(b *book, o *Offer, target volume, now time.Duration) {
+// wants back and wants to borrow so that it keeps target for itself. It gives
+// up to refill of empty capacity back, for tokens only come with capacity.
+func (x *uplink) plan(b *book, o *Offer, target volume, refill Amount, now time.Duration) {
 	in, out := b.in[x.party], b.out[x.party]
 	held, lent := in.at(now), out.at(now)
 	free := b.v.minus(held).plus(lent) // without the loans from and to the parent
@@ -91,13 +92,17 @@
 	backing := volume{}.minus(b.floors([]time.Duration{in.end()}, x.party, "")[0]).floor()
 	keep := held.min(want.max(backing))
 	moved := held.c - keep.c + raised.at(now).c - lent.c
+	if empty := b.v.c - moved - Amount(b.k) - 1; refill > 0 && empty > 0 {
+		empty = min(empty, refill, keep.c-min(backing.c, keep.c))
+		keep.c, moved = keep.c-empty, moved+empty
+	}
 	o.Tokens = b.remove(min(moved, Amount(b.k)-max(b.v.c-moved, 0)))
 	b.in[x.party] = in.lower(keep)
 	b.recompute()
 
 	x.told[o.Account] = dep.at(now)
 	for _, l := range dep {
-		o.Deposit = append(o.Deposit, Level{TermMs: uint32(x.term(l.until) / time.Millisecond), Rate: l.v.r, Capacity: l.v.c})
+		o.Deposit = appendLevel(o.Deposit, x.term(l.until), l.v)
 	}
 	recall := lent.minus(free.minus(target).floor()).floor()
 	o.RecallRate, o.RecallCapacity = recall.r, recall.c
