gate: Give slots back when calls are slower by themselves

Cause: a latency three times the usual halved the concurrency limit, and the usual latency followed so slowly that the slots stayed lost for long. Change: the limit falls for latency only while most calls reach it. If fewer calls at once don't make them quicker, the latency becomes the usual one.

--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -133,3 +133,24 @@
 	}
 	assert.Assert(t, total >= 550, "%d connections over 6 s", total)
 }
+
+// Guards against slots that are lost for long when calls become slower by
+// themselves, such as large files after small lookups.
+func TestSlowerCallsGetTheirSlotsBack(t *testing.T) {
+	g, c := newGate(12, 2)
+	g.limit.permits = 12
+	s := newTrial(g, c, 1)
+	s.service = 10 * time.Millisecond
+	s.offer("a", "a", 0.8*12/0.05, time.Second)
+	s.ticks()
+	s.run(10 * time.Second)
+	s.service *= 5
+	least := 12
+	for range 150 {
+		s.run(100 * time.Millisecond)
+		least = min(least, g.Load().Permits)
+	}
+	a := s.clients["a"]
+	t.Logf("least permits %d, at the end %d; %d of %d calls refused", least, g.Load().Permits, a.ended-a.good, a.ended)
+	assert.Equal(t, g.Load().Permits, 12)
+}
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -11,6 +11,9 @@
 	// latencySlack keeps very short calls from counting as inflated because
 	// of scheduling delays.
 	latencySlack = 500 * time.Microsecond
+	// stillSlow is the ratio to the latency at the first fall above which
+	// fewer calls at once have not helped.
+	stillSlow = 0.8
 	// shedFactor and slowFactor lower the limit after shedding and after
 	// overloaded latency.
 	shedFactor, slowFactor = 0.75, 0.85
@@ -38,6 +41,7 @@
 	answers  int
 	sum      time.Duration
 	usual    time.Duration // moving average of the latency of calm windows
+	slowFrom time.Duration // latency at the first fall for latency, or 0
 	lastStep time.Time
 	lastFall time.Time
 	lastEnd  time.Time
@@ -143,17 +147,39 @@
 	}
 	m := l.mean()
 	slow := l.usual > 0 && m > time.Duration(inflated*float64(l.usual))+latencySlack
-	if l.usual > 0 && m > overloaded*l.usual+latencySlack {
-		// A slow dependency of the server looks the same, so latency alone
-		// never takes more than half of the slots away.
-		l.fall(slowFactor, max(g.limits.ColdSlots, g.limits.Slots/2), g, now)
-	} else if !slow && l.good >= l.permits && l.permits < g.limits.Slots {
+	switch {
+	case l.usual > 0 && m > overloaded*l.usual+latencySlack:
+		// A limit that most calls did not reach did not cause the latency.
+		if 2*l.good >= l.answers {
+			l.tooSlow(m, g, now)
+		}
+	case !slow && l.good >= l.permits && l.permits < g.limits.Slots:
 		l.permits++
 	}
+	if !slow {
+		l.slowFrom = 0
+	}
 	l.learn(m, slow, l.permits < g.limits.Slots)
 	l.newWindow(now)
 }
 
+// tooSlow lowers the limit after a window of overloaded latency, to half of
+// the slots at most. If that does not make the calls quicker, they are slower
+// by themselves or wait for another service, and the latency becomes the
+// usual one.
+func (l *limiter) tooSlow(m time.Duration, g *Gate, now time.Time) {
+	floor := max(g.limits.ColdSlots, g.limits.Slots/2)
+	switch {
+	case l.slowFrom == 0:
+		l.slowFrom = m
+		l.fall(slowFactor, floor, g, now)
+	case l.permits > floor:
+		l.fall(slowFactor, floor, g, now)
+	case m > time.Duration(stillSlow*float64(l.slowFrom)):
+		l.usual, l.slowFrom = m, 0
+	}
+}
+
 // learn follows a falling latency quickly and a rising one slowly, so that a
 // lasting change is accepted in the end and an overload is not.
 func (l *limiter) learn(m time.Duration, slow, rising bool) {
