spread: Judge a version whose parts are all held

Cause: a complete version was judged only after a pull or read had brought bytes. A manifest from the source that names only held parts waited forever; TestProcesses, phase source outage, did not converge in 30 s. Change: ConfirmSource judges complete versions as Deliver does. Conclusion: fixed; the test keeps the case.

--- a/pkg/spread/fetch.go
+++ b/pkg/spread/fetch.go
@@ -151,7 +151,6 @@
 // becomes complete is judged as a whole.
 func (r *Replica) Deliver(manifest []byte, parts map[string][]byte) (Action, error) {
 	good, bad := verified(parts)
-	var whole *target
 	r.mu.Lock()
 	var a Action
 	if manifest != nil {
@@ -160,17 +159,27 @@
 	for _, t := range slices.Clone(r.targets) {
 		r.deliverParts(t, good, &a)
 	}
-	whole = r.nextWhole()
 	r.mu.Unlock()
-	for whole != nil {
-		if err := r.judge(whole, &a); err != nil {
-			bad = err
-		}
+	if err := r.judgeWhole(&a); err != nil {
+		bad = err
+	}
+	return a, bad
+}
+
+// judgeWhole judges every complete target. It returns the last refusal.
+func (r *Replica) judgeWhole(a *Action) error {
+	var refused error
+	for {
 		r.mu.Lock()
-		whole = r.nextWhole()
+		t := r.nextWhole()
 		r.mu.Unlock()
+		if t == nil {
+			return refused
+		}
+		if err := r.judge(t, a); err != nil {
+			refused = err
+		}
 	}
-	return a, bad
 }
 
 // verified returns the parts that have their digest.
--- /dev/null
+++ b/pkg/spread/same_parts_test.go
@@ -0,0 +1,26 @@
+package spread_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Guards against a version whose parts are all held already and that is never
+// judged, because no part remains to be fetched.
+func TestVersionWithTheSamePartsComesIntoForce(t *testing.T) {
+	t.Parallel()
+	f := running(t, 1, 5, 2, 0)
+	m, err := config.ParseManifest(f.values["manifest"])
+	assert.NilError(t, err)
+	m.Version = 2
+	f.values["manifest"], err = toml.Marshal(m)
+	assert.NilError(t, err)
+	f.run(4 * time.Second)
+	_, ok := f.slowest(2, f.now)
+	assert.Assert(t, ok, "version 2 is not in force everywhere within 4 s")
+}
--- a/pkg/spread/source.go
+++ b/pkg/spread/source.go
@@ -9,12 +9,18 @@
 )
 
 // ConfirmSource takes the manifest that the source answered to a read that was
-// sent at askedAt.
+// sent at askedAt. A version whose parts are all held is judged at once.
 func (r *Replica) ConfirmSource(manifest []byte, askedAt time.Time) Action {
+	var a Action
+	r.confirmSource(manifest, askedAt, &a)
+	_ = r.judgeWhole(&a) // A refusal is among the action's events.
+	return a
+}
+
+func (r *Replica) confirmSource(manifest []byte, askedAt time.Time, a *Action) {
 	digest := config.DigestOf(manifest)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var a Action
 	r.sourceAnswered = true
 	switch {
 	case r.held != nil && r.held.snapshot.Digest == digest:
@@ -27,14 +33,13 @@
 	default:
 		m, err := config.ParseManifest(manifest)
 		if err != nil {
-			r.refuse(0, digest, err, &a)
+			r.refuse(0, digest, err, a)
 			r.confirm(askedAt)
 			break
 		}
-		r.confirmOther(m, manifest, digest, askedAt, &a)
+		r.confirmOther(m, manifest, digest, askedAt, a)
 	}
-	r.settle(r.Now(), &a)
-	return a
+	r.settle(r.Now(), a)
 }
 
 // confirmOther takes a valid manifest that is not the held one.
