gate: Report an idle gate as cold

Cause: a gate without calls for 10 s reported warm permits until its next call, so other nodes sent it more than it would start. Change: Tick makes the idle gate cold; the test of restart evidence looks at the reported load after a tick. Conclusion: the load header and the gate agree.

--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -93,9 +93,10 @@
 			t.Done(Good)
 		}
 		c.do(g, clk)
+		g.Tick(clk.t)
+		assert.Equal(t, g.Load().Permits == 2, c.cold, c.name)
 		_, _, err := g.Offer(Call{ArrivedAt: clk.add(2 * pauseGrace)})
 		assert.NilError(t, err, c.name)
-		assert.Equal(t, g.Load().Permits == 2, c.cold, c.name)
 	}
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -144,6 +144,7 @@
 	defer g.mu.Unlock()
 	g.wake(now)
 	g.pause.lastTick = now
+	g.limit.idle(g, now)
 	for _, p := range g.queues.expired(now) {
 		p.refuse(Late)
 	}
