--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -21,6 +21,7 @@
 	"quetzaldock.example/quetzaldock/internal/platform"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/spread"
 )
 
 // A source is a small configuration service.
@@ -108,37 +109,57 @@
 	return map[string]config.Document{"all": d}
 }
 
-// start runs n nodes in the given number of zones and returns them.
-func start(t *testing.T, s *source, n, zones int) []*distribution.Distributor {
+// A cluster is a set of nodes over loopback TCP.
+type cluster struct {
+	t     *testing.T
+	url   string
+	list  hosts.List
+	nodes []*distribution.Distributor
+	stop  []func()
+}
+
+// start runs n nodes in the given number of zones.
+func start(t *testing.T, s *source, n, zones int) *cluster {
 	t.Helper()
 	web := httptest.NewServer(s)
-	ctx, cancel := context.WithCancel(t.Context())
-	var all sync.WaitGroup
-	t.Cleanup(func() { cancel(); all.Wait(); web.Close() })
-	list := hosts.List{Revision: 1}
+	t.Cleanup(web.Close)
+	c := &cluster{t: t, url: web.URL, list: hosts.List{Revision: 1}}
 	var listeners []net.Listener
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		listeners = append(listeners, l)
-		list.Hosts = append(list.Hosts, hosts.Host{
+		c.list.Hosts = append(c.list.Hosts, hosts.Host{
 			ID: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%zones), Service: "entry",
 			ControlAddress: l.Addr().String(), State: hosts.Live,
 		})
 	}
-	b, err := toml.Marshal(list)
+	b, err := toml.Marshal(c.list)
 	assert.NilError(t, err)
 	s.set("hosts", b)
-	var out []*distribution.Distributor
-	for i := range n {
-		c, p := platform.New(web.URL), &peer.Client{}
-		d := distribution.New(list.Hosts[i], nil, c, p, slog.New(slog.DiscardHandler))
-		v := &peer.Server{Exchange: d.HandleExchange, Push: d.HandlePush, Pull: d.HandlePull}
-		all.Go(func() { assert.Check(t, d.Run(ctx)); p.Close(); c.Close() })
-		all.Go(func() { assert.Check(t, v.Serve(ctx, listeners[i])) })
-		out = append(out, d)
+	for i, l := range listeners {
+		d, stop := c.node(i, l, nil)
+		c.nodes = append(c.nodes, d)
+		c.stop = append(c.stop, stop)
 	}
-	return out
+	t.Cleanup(func() {
+		for _, stop := range c.stop {
+			stop()
+		}
+	})
+	return c
+}
+
+// node runs one node and returns the function that ends it.
+func (c *cluster) node(i int, l net.Listener, seeds []string) (*distribution.Distributor, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	web, p := platform.New(c.url), &peer.Client{}
+	d := distribution.New(c.list.Hosts[i], seeds, web, p, slog.New(slog.DiscardHandler))
+	v := &peer.Server{Exchange: d.HandleExchange, Push: d.HandlePush, Pull: d.HandlePull}
+	var duties sync.WaitGroup
+	duties.Go(func() { assert.Check(c.t, d.Run(ctx)) })
+	duties.Go(func() { assert.Check(c.t, v.Serve(ctx, l)) })
+	return d, sync.OnceFunc(func() { cancel(); duties.Wait(); p.Close(); web.Close() })
 }
 
 // eventually waits until the condition holds.
@@ -169,7 +190,7 @@
 func TestNodesConverge(t *testing.T) {
 	s := &source{}
 	s.publish(t, 1, document(2, 4))
-	nodes := start(t, s, 4, 2)
+	nodes := start(t, s, 4, 2).nodes
 	eventually(t, "version 1 everywhere", allAt(nodes, 1))
 	d := document(2, 4)
 	all := d["all"]
@@ -180,3 +201,45 @@
 		assert.Assert(t, d.Replica.KeyedAllowed(time.Now()))
 	}
 }
+
+// Guards against a node that cannot start while the source is down although
+// its peers serve, and against an outage that stops keyed calls.
+func TestRestartDuringSourceOutage(t *testing.T) {
+	s := &source{}
+	s.publish(t, 1, document(2, 4))
+	c := start(t, s, 4, 2)
+	eventually(t, "version 1 everywhere", allAt(c.nodes, 1))
+	s.setDown(true)
+	c.stop[3]()
+	l, err := net.Listen("tcp", c.list.Hosts[3].ControlAddress)
+	assert.NilError(t, err)
+	c.nodes[3], c.stop[3] = c.node(3, l, []string{c.list.Hosts[0].ControlAddress})
+	eventually(t, "restarted node at version 1", allAt(c.nodes, 1))
+	eventually(t, "confirmations older than the outage", func() bool {
+		return c.nodes[0].Replica.Reply().Summary.ConfirmedAgeMs > 2*spread.FreshFor.Milliseconds()
+	})
+	for i, d := range c.nodes {
+		eventually(t, fmt.Sprintf("node %d accepts keyed calls", i), func() bool { return d.Replica.KeyedAllowed(time.Now()) })
+	}
+	s.setDown(false)
+	s.publish(t, 2, document(2, 3))
+	eventually(t, "version 2 everywhere", allAt(c.nodes, 2))
+}
+
+// Guards against calls that wait for the floor longer than their deadline, or
+// not at all.
+func TestAwaitFloor(t *testing.T) {
+	s := &source{}
+	s.publish(t, 1, document(1, 1))
+	c := start(t, s, 1, 1)
+	d := c.nodes[0]
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	assert.Assert(t, !d.AwaitFloor(ctx), "not ready yet")
+	eventually(t, "version 1", allAt(c.nodes, 1))
+	assert.Assert(t, d.AwaitFloor(t.Context()))
+	d.Replica.SawVersion(2)
+	s.publish(t, 2, document(1, 1))
+	assert.Assert(t, d.AwaitFloor(t.Context()))
+	assert.Assert(t, d.Replica.Current().Version == 2 || !d.Replica.Behind(time.Now()))
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -10,13 +11,16 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"quetzaldock.example/quetzaldock/internal/peer"
@@ -85,7 +89,7 @@
 
 func message(from string) spread.Message {
 	return spread.Message{From: from, Summary: spread.Summary{
-		Version: 2900, Digest: "b5bb9d8014a0f9b1d61e21e796d78dccdf1352f23cd32812f4850b878ae4944c",
+		Version: 2900, Digest: spread.Digest(strings.Repeat("b5", 32)),
 		Floor: 2900, HostsRevision: 12000, ConfirmedAgeMs: 812, Serving: true,
 	}}
 }
@@ -138,17 +142,92 @@
 	assert.Assert(t, errorx.IsOfType(err, peer.Unreachable), "%v", err)
 }
 
+// Guards against a peer that goes silent while its connection stays open: the
+// call ends at its deadline and the next one uses a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	release := make(chan struct{})
+	var calls atomic.Int64
+	s := &peer.Server{Exchange: func(_ context.Context, _ string, in spread.Message) (spread.Message, error) {
+		if calls.Add(1) == 1 {
+			<-release
+		}
+		return in, nil
+	}}
+	host := serve(t, s, "h-0002")
+	defer close(release)
+	c := &peer.Client{Meter: &peer.Meter{}}
+	defer c.Close()
+	_, err := c.Exchange(t.Context(), host, message("h-0001"))
+	assert.Assert(t, errorx.IsOfType(err, peer.Timeout), "%v", err)
+	_, err = c.Exchange(t.Context(), host, message("h-0001"))
+	assert.NilError(t, err)
+	assert.Equal(t, c.Meter.Dials.Load(), int64(2))
+}
+
+// Guards against parts that are changed by compression, and replies over
+// the message limit.
+func TestPull(t *testing.T) {
+	random := make([]byte, 1<<20)
+	_, err := rand.Read(random)
+	assert.NilError(t, err)
+	text := bytes.Repeat([]byte("Prefix = \"/entries\"\n"), 20000)
+	s := &peer.Server{Pull: func(_ context.Context, _ string, q spread.PullRequest) (spread.PullReply, error) {
+		if q.Manifest == "huge" {
+			return spread.PullReply{Manifest: random, Hosts: random}, nil
+		}
+		return spread.PullReply{Manifest: []byte("m"), Parts: map[string][]byte{"random": random, "text": text}}, nil
+	}}
+	host := serve(t, s, "h-0002")
+	c := &peer.Client{Meter: &peer.Meter{}}
+	defer c.Close()
+	out, err := c.Pull(t.Context(), host, spread.PullRequest{Parts: []string{"random", "text"}})
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(out.Parts["random"], random) && bytes.Equal(out.Parts["text"], text))
+	assert.Equal(t, string(out.Manifest), "m")
+	assert.Assert(t, c.Meter.In.Load() < 1<<20+1<<16, "%d bytes", c.Meter.In.Load())
+	_, err = c.Pull(t.Context(), host, spread.PullRequest{Manifest: "huge"})
+	assert.Assert(t, errorx.IsOfType(err, peer.Unreachable), "%v", err)
+}
+
+// Guards against quota bytes that are changed on the way, and calls that a
+// node does not serve.
+func TestQuotaCarriesBytes(t *testing.T) {
+	a := newAuthority(t)
+	s := &peer.Server{TLS: a.config(t, "h-0002"), Quota: func(_ context.Context, from string, b []byte) ([]byte, error) {
+		return append([]byte(from+" "), b...), nil
+	}}
+	host := serve(t, s, "h-0002")
+	c := &peer.Client{TLS: a.config(t, "h-0001")}
+	defer c.Close()
+	out, err := c.Quota(t.Context(), host, []byte{0, 1, 255})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, out, []byte("h-0001 \x00\x01\xff"))
+	_, err = c.Exchange(t.Context(), host, message("h-0001"))
+	assert.Assert(t, errorx.IsOfType(err, peer.Unreachable), "%v", err)
+}
+
 func BenchmarkExchange(b *testing.B) {
 	a := newAuthority(b)
 	host := serve(b, &peer.Server{TLS: a.config(b, "h-0002"), Exchange: echo}, "h-0002")
 	c := &peer.Client{TLS: a.config(b, "h-0001")}
 	defer c.Close()
 	in := message("h-0001")
+	start := processorTime(b)
 	for b.Loop() {
 		if _, err := c.Exchange(b.Context(), host, in); err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64((processorTime(b)-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime is the time that this process, which is both sides of a call,
+// has used.
+func processorTime(t testing.TB) time.Duration {
+	t.Helper()
+	var u unix.Rusage
+	assert.NilError(t, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func BenchmarkDial(b *testing.B) {
@@ -156,6 +235,7 @@
 	host := serve(b, &peer.Server{TLS: a.config(b, "h-0002"), Exchange: echo}, "h-0002")
 	own := a.config(b, "h-0001")
 	in := message("h-0001")
+	start := processorTime(b)
 	for b.Loop() {
 		c := &peer.Client{TLS: own}
 		if _, err := c.Exchange(b.Context(), host, in); err != nil {
@@ -163,4 +243,5 @@
 		}
 		c.Close()
 	}
+	b.ReportMetric(float64((processorTime(b)-start).Nanoseconds())/float64(b.N), "cpu-ns/op")
 }
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,95 @@
+package platform_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/platform"
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Guards against failures that the caller cannot tell apart, answers that are
+// used although they must not be, and reads that are repeated unseen.
+func TestReadFailures(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(w http.ResponseWriter)
+		want   *errorx.Type
+	}{
+		{"absent", func(w http.ResponseWriter) { w.WriteHeader(http.StatusNotFound) }, platform.NotFound},
+		{"throttled", func(w http.ResponseWriter) { w.WriteHeader(http.StatusTooManyRequests) }, platform.Throttled},
+		{"failed", func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway) }, platform.Failed},
+		{"redirected", func(w http.ResponseWriter) {
+			w.Header().Set("Location", "/v1/values/other")
+			w.WriteHeader(http.StatusFound)
+		}, platform.Unreachable},
+		{"no revision", func(w http.ResponseWriter) { _, _ = w.Write([]byte("x")) }, platform.BadAnswer},
+		{"too large", func(w http.ResponseWriter) {
+			w.Header().Set("Revision", "1")
+			_, _ = w.Write(bytes.Repeat([]byte("x"), config.ValueLimit+1))
+		}, platform.BadAnswer},
+		{"cut off", func(w http.ResponseWriter) {
+			w.Header().Set("Revision", "1")
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("half"))
+		}, platform.Unreachable},
+	} {
+		calls := 0
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { calls++; c.answer(w) }))
+		p := platform.New(s.URL)
+		_, err := p.Read(t.Context(), "manifest")
+		assert.Assert(t, errorx.IsOfType(err, c.want), "%s: %v", c.name, err)
+		assert.Equal(t, calls, 1, c.name)
+		assert.Equal(t, p.Calls(), int64(1), c.name)
+		p.Close()
+		s.Close()
+	}
+}
+
+// Guards against a watch that takes an unchanged answer of a service which
+// went back in time for a confirmation.
+func TestWatch(t *testing.T) {
+	revision, code := "7", http.StatusNotModified
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		assert.Check(t, q.URL.Query().Get("after") == "7" && q.URL.Query().Get("wait_ms") == "250")
+		w.Header().Set("Revision", revision)
+		w.WriteHeader(code)
+		if code == http.StatusOK {
+			_, _ = w.Write([]byte("new"))
+		}
+	}))
+	defer s.Close()
+	p := platform.New(s.URL)
+	defer p.Close()
+	_, changed, err := p.Watch(t.Context(), "manifest", 7, 250*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Assert(t, !changed)
+	revision = "6"
+	_, _, err = p.Watch(t.Context(), "manifest", 7, 250*time.Millisecond)
+	assert.Assert(t, errorx.IsOfType(err, platform.BadAnswer), "%v", err)
+	revision, code = "8", http.StatusOK
+	v, changed, err := p.Watch(t.Context(), "manifest", 7, 250*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, string(v.Bytes), "new")
+}
+
+// Guards against nodes that return to a recovered service in step.
+func TestBackoffGrowsWithinBounds(t *testing.T) {
+	b := platform.Backoff{First: 100 * time.Millisecond, Max: time.Second, Rand: rand.New(rand.NewPCG(1, 1))}
+	mean := b.First
+	for range 10 {
+		w := b.Wait()
+		assert.Assert(t, w >= mean/2 && w < mean+mean/2, "%v for a mean of %v", w, mean)
+		mean = min(b.Max, 2*mean)
+	}
+	b.Reset()
+	assert.Assert(t, b.Wait() < 150*time.Millisecond)
+}
--- a/pkg/spread/fleet_test.go
+++ b/pkg/spread/fleet_test.go
@@ -195,13 +195,6 @@
 		f.read(n, n.reads[0])
 		n.reads = n.reads[1:]
 	}
-	for {
-		q, ok := n.r.NextPull(f.now)
-		if !ok {
-			break
-		}
-		f.pull(n, q)
-	}
 	f.check(n)
 	n.samples++
 	if !n.r.KeyedAllowed(f.now) {
@@ -218,6 +211,13 @@
 			f.apply(p, p.r.Observe(m.Host(), m.Summary, time.Time{}))
 		})
 	}
+	for a.Fetch {
+		q, ok := n.r.NextPull(f.now)
+		if !ok {
+			break
+		}
+		f.pull(n, q)
+	}
 	f.check(n)
 }
 
@@ -309,6 +309,7 @@
 				f.apply(n, o)
 			}
 			o, _ := n.r.Deliver(a.Manifest, a.Parts)
+			o.Fetch = true
 			f.apply(n, o)
 		})
 	})
--- /dev/null
+++ b/pkg/spread/measure_test.go
@@ -0,0 +1,120 @@
+package spread_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var measure = flag.Bool("measure", false, "print the table of traffic and convergence against fleet sizes")
+
+// Prints the figures of docs/decisions/distribution.md:
+//
+//	go test ./pkg/spread -run TestMeasure -measure -v
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	t.Log("hosts zones loss | up: B/s max calls/s reads/s peak refused | conv ms p50 p99 max | down: B/s max reads/s refused | herd: reads peak, ready p50 max")
+	for _, c := range []struct{ n, zones int }{{13, 4}, {50, 4}, {100, 4}, {200, 19}, {400, 19}, {1100, 19}} {
+		for _, loss := range []float64{0, 0.1} {
+			t.Log(row(t, c.n, c.zones, loss))
+		}
+	}
+}
+
+func row(t *testing.T, n, zones int, loss float64) string {
+	f := newFleet(t, 1, n, zones)
+	f.loss = loss
+	f.publish(1, zones)
+	f.startAll()
+	f.run(60 * time.Second)
+	f.resetCounts()
+	f.run(30 * time.Second)
+	out := fmt.Sprintf("%4d %2d %.1f | %s", n, zones, loss, f.rates(30, true))
+	var took []time.Duration
+	for v := uint64(2); v < 7; v++ {
+		since := f.now
+		f.publish(v, zones)
+		f.run(6 * time.Second)
+		for _, n := range f.order {
+			if n.served < v {
+				t.Errorf("%d hosts, loss %.1f: %s lacks version %d", len(f.order), loss, n.host.ID, v)
+				continue
+			}
+			took = append(took, n.reached[v].Sub(since))
+		}
+	}
+	slices.Sort(took)
+	at := func(l []time.Duration, q float64) int64 { return l[int(q*float64(len(l)-1))].Milliseconds() }
+	out += fmt.Sprintf(" | %d %d %d", at(took, 0.5), at(took, 0.99), at(took, 1))
+	f.sourceUp = func(*node) bool { return false }
+	f.resetCounts()
+	f.run(30 * time.Second)
+	out += " | " + f.rates(30, false)
+	f.sourceUp = nil
+	f.run(10 * time.Second)
+	f.resetCounts()
+	since := f.now
+	f.startAll()
+	ready := map[string]time.Duration{}
+	for range 300 {
+		f.run(50 * time.Millisecond)
+		for _, n := range f.order {
+			if _, ok := ready[n.host.ID]; !ok && n.r.Ready() {
+				ready[n.host.ID] = f.now.Sub(since)
+			}
+		}
+	}
+	took = took[:0]
+	for _, d := range ready {
+		took = append(took, d)
+	}
+	slices.Sort(took)
+	out += fmt.Sprintf(" | %d, %d/%d ready, %d %d", f.peakReads(), len(took), n, at(took, 0.5), at(took, 1))
+	f.sound()
+	return out
+}
+
+// rates prints the counts of the last seconds.
+func (f *fleet) rates(seconds float64, up bool) string {
+	total, busiest, calls := 0, 0, 0
+	for _, n := range f.order {
+		total += n.bytes
+		busiest = max(busiest, n.bytes)
+		calls += n.calls
+	}
+	all := float64(len(f.order)) * seconds
+	out := fmt.Sprintf("%.0f %.0f", float64(total)/all, float64(busiest)/seconds)
+	if up {
+		out += fmt.Sprintf(" %.2f", float64(calls)/all)
+	}
+	out += fmt.Sprintf(" %.1f", float64(len(f.reads))/seconds)
+	if up {
+		out += fmt.Sprintf(" %d", f.peakReads())
+	}
+	return out + fmt.Sprintf(" %.5f", f.refusedShare())
+}
+
+// Prints the plain alternative, in which every node watches the source with a
+// wait of a second and reads the two parts of a new version there. The source
+// serves 2,000 reads a second in order of arrival.
+func TestMeasureEveryNodeWatches(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	const capacity, parts = 2000.0, 2
+	for _, n := range []int{13, 50, 100, 200, 400, 1100, 2200, 4400} {
+		steady := float64(n) // one watch per node and second, before any change
+		burst := float64(n * (parts + 1))
+		free := max(0, capacity-steady)
+		conv := "never: the watches alone exceed the capacity"
+		if free > 0 {
+			conv = fmt.Sprintf("last node after %.0f ms", 1000*float64(n*parts)/capacity)
+		}
+		t.Logf("%4d hosts: %.0f reads/s, %.0f reads in the second after a publication, %s; restart of all: %.0f reads at once",
+			n, steady, steady+burst, conv, float64(n*(parts+2)))
+	}
+}
