Add the commands demo and load

Cause: the demo is the first command of a newcomer, and experiments need one way to be run. Change: cmd/quetzaldock demo and load.

--- /dev/null
+++ b/cmd/quetzaldock/load.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"quetzaldock.example/quetzaldock/internal/command"
+	"quetzaldock.example/quetzaldock/internal/experiment"
+)
+
+func (c *cli) addLoad() {
+	o := experiment.LoadOptions{Out: c.out, Progress: os.Stderr}
+	s := c.add(nil, "load", "FILE: run an experiment file and print its report", func(files []string) error {
+		if len(files) != 1 {
+			return command.ErrUsage.New("load needs one experiment file")
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		return experiment.Load(ctx, files[0], o)
+	})
+	s.UInt64(&o.Seed, "s", "seed", "replaces the file's seed unless 0")
+	s.Bool(&o.JSON, "j", "json", "print the report as JSON")
+	s.Bool(&o.FixedSplit, "x", "fixed-split", "fixed shares of the rates in place of lent ones")
+}
--- a/cmd/quetzaldock/main.go
+++ b/cmd/quetzaldock/main.go
@@ -13,6 +13,8 @@
 	c := newCLI(os.Stdout)
 	c.addNode()
 	c.addStatus()
+	c.addDemo()
+	c.addLoad()
 	c.addCheck()
 	c.addExplain()
 	c.addDiff()
--- a/cmd/quetzaldock/mesh_test.go
+++ b/cmd/quetzaldock/mesh_test.go
@@ -238,6 +238,10 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	for _, h := range m.hosts {
+		s := h.status()
+		m.t.Logf("%s: version %d of %d, floor %d, keyed %t, confirmed %d ms ago, gate %+v", s.Host, s.Version, m.version, s.Floor, s.KeyedAllowed, s.ConfirmedAgeMs, s.Gate)
+	}
 	m.t.Fatalf("not reached: %s", what)
 }
 
--- a/cmd/quetzaldock/traffic_test.go
+++ b/cmd/quetzaldock/traffic_test.go
@@ -42,6 +42,8 @@
 	status  int
 	whole   bool
 	failure string
+	// second is when the trial began, in whole seconds of the run.
+	second int
 }
 
 // An attempt is what one caller saw of one try.
@@ -145,6 +147,7 @@
 			method = http.MethodPost
 		}
 		t := c.newTrial(method, c.account)
+		t.second = int(time.Since(end.Add(-d)).Seconds())
 		w.Go(func() { c.call(t) })
 	}
 	w.Wait()
@@ -187,7 +190,7 @@
 	f := map[string]int{}
 	for _, x := range trials {
 		if x.status != http.StatusOK {
-			f[fmt.Sprintf("%s %d %.60s", x.method, x.status, x.failure)]++
+			f[fmt.Sprintf("%s %d %.60s at %d s", x.method, x.status, x.failure, x.second)]++
 		}
 	}
 	return f
