--- /dev/null
+++ b/pkg/once/example_test.go
@@ -0,0 +1,53 @@
+package once_test
+
+import (
+	"fmt"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/once"
+)
+
+// A node asks the witnesses of a key for consent, runs the request if a
+// majority grants it, and tells them how it ended. A repeat through any other
+// node gets the status of the first.
+func Example() {
+	s := &config.Snapshot{Hosts: map[string]*config.Host{
+		"desk-1": {ID: "desk-1", Service: "desk", Zone: "Surco"},
+		"desk-2": {ID: "desk-2", Service: "desk", Zone: "Ate"},
+		"desk-3": {ID: "desk-3", Service: "desk", Zone: "Callao"},
+	}}
+	started := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	panel := once.NewPanel(s)
+	witnesses := map[string]*once.Witness{}
+	for id := range s.Hosts {
+		witnesses[id] = once.NewWitness(id)
+		witnesses[id].Configure(panel, started)
+	}
+
+	// A witness abstains from a key without a time of its own until it has run
+	// for Settle and Window.
+	now := started.Add(time.Hour)
+	k := once.Key{Service: "desk", Account: "club-a", Value: "entry-4711"}
+	claim := func(holder string) *once.Tally {
+		t := once.NewTally(panel.Witnesses(k))
+		for _, id := range t.Witnesses {
+			// Send the claim to the witness's node here.
+			t.Add(id, witnesses[id].Claim(k, holder, now))
+		}
+		return t
+	}
+	first := claim("node-1")
+	fmt.Println(first.Decide(true) == once.Run)
+	fmt.Println(claim("node-2").Decide(true) == once.Running)
+
+	for _, id := range first.Witnesses {
+		witnesses[id].Finish(k, "node-1", once.Answered, 201)
+	}
+	repeat := claim("node-2")
+	fmt.Println(repeat.Decide(true) == once.Repeated, repeat.Status)
+	// Output:
+	// true
+	// true
+	// true 201
+}
