--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -44,10 +44,7 @@
 	if err := s.check(ctx, c); err != nil {
 		return nil, err
 	}
-	t, err := s.Gate.Enter(ctx, gate.Call{
-		Account: c.Account, Service: c.Service, IdempotencyKey: c.Key,
-		Idempotent: c.Idempotent, Deadline: c.Deadline, ArrivedAt: c.ArrivedAt,
-	})
+	t, err := s.Gate.Enter(ctx, gate.Call{Account: c.Account, Deadline: c.Deadline, ArrivedAt: c.ArrivedAt})
 	if err != nil {
 		return nil, refusal(err)
 	}
--- a/pkg/gate/bench_test.go
+++ b/pkg/gate/bench_test.go
@@ -39,18 +39,3 @@
 		}
 	})
 }
-
-func BenchmarkMemory(b *testing.B) {
-	m := NewMemory(func(Key) (time.Time, bool) { return time.Time{}, true })
-	m.Limit = 1 << 30
-	now := time.Now()
-	b.ReportAllocs()
-	n := 0
-	for b.Loop() {
-		n++
-		k := Key{"s", "a", string([]byte{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)})}
-		if m.Begin(k, now).Verdict == Run {
-			m.Finish(k, Answered, 200, now)
-		}
-	}
-}
--- a/pkg/gate/example_test.go
+++ b/pkg/gate/example_test.go
@@ -54,23 +54,3 @@
 	// {Running:1 Permits:1 Queued:1}
 	// true <nil>
 }
-
-// A host that owns a key runs its request once and answers repeats from
-// memory.
-func ExampleMemory() {
-	started := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
-	o := gate.NewOwnership("desk-1")
-	o.Change("desk", []string{"desk-1"}, started)
-	m := gate.NewMemory(o.Since)
-
-	now := started.Add(time.Hour)
-	k := gate.Key{Service: "desk", Account: "club-a", Value: "entry-4711"}
-	fmt.Println(m.Begin(k, now).Verdict == gate.Run)
-	fmt.Println(m.Begin(k, now).Verdict == gate.Running)
-	m.Finish(k, gate.Answered, 201, now)
-	fmt.Println(m.Begin(k, now).Status)
-	// Output:
-	// true
-	// true
-	// 201
-}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -29,10 +29,7 @@
 
 // A Call is what the gate needs to know of a request.
 type Call struct {
-	Account        string
-	Service        string
-	IdempotencyKey string
-	Idempotent     bool
+	Account string
 	// Deadline is the time after which no one waits for the answer; zero
 	// means none.
 	Deadline time.Time
--- a/pkg/gate/refusal.go
+++ b/pkg/gate/refusal.go
@@ -34,13 +34,6 @@
 	Behind Reason = "Behind"
 	// Paused: the call arrived while the process did not run.
 	Paused Reason = "Paused"
-	// NotOwner: another host owns the call's idempotency key.
-	NotOwner Reason = "NotOwner"
-	// MemoryFull: the idempotency memory holds no more keys.
-	MemoryFull Reason = "MemoryFull"
-	// StillRunning: a call with the same idempotency key runs now. This
-	// repeat of the call was not run.
-	StillRunning Reason = "StillRunning"
 )
 
 // A Refusal is the error of a call that was not run.
