quota: renew loans before they lapse and hold rate only in large buckets

Cause: loans lapsed between reports, since each hop renewed what the hop before had renewed up to a second ago, and tokens were dropped with them. A host that held rate in a small bucket spilled part of it.

Change: reports every 850 ms +/- 5%, deposits in steps of 200 ms, renewal out of turn through the leader to the root, rate held only where a quarter of the proportional burst is 8 tokens or more; else tokens are fetched.

--- a/pkg/quota/broker.go
+++ b/pkg/quota/broker.go
@@ -27,8 +27,14 @@
 	kids  map[string]*kid
 	links map[string]*uplink
 	swept time.Duration
+	// renewed is when the parent last answered.
+	renewed time.Duration
 }
 
+// renewGap is the least age of the parent's last answer at which it is asked
+// out of turn to renew loans.
+const renewGap = 200 * time.Millisecond
+
 // A pool is the book of one account with its unmet demands.
 type pool struct {
 	book  *book
@@ -110,7 +116,7 @@
 		o := &r.Entries[i]
 		p := b.pool(o.Account, now)
 		g := p.receive(party, o, k, now)
-		if p.lend(party, o, &g, k, now) {
+		if p.lend(party, o, &g, k, now) && (o.WantTokens > g.Tokens || now-b.renewed > renewGap) {
 			short = true
 		}
 		k.offers[o.Account] = o
@@ -206,7 +212,17 @@
 	if o.WantTokens > 0 && g.Tokens < One {
 		g.RetryMs = p.retryMs(now)
 	}
-	return left > 0
+	return left > 0 || lapses(raised, ask, k.received)
+}
+
+// soon is how far ahead a loan must reach; else the parent is asked for more
+// before the member's report is answered.
+const soon = 700 * time.Millisecond
+
+// lapses reports whether a quarter of what a member wants ends soon.
+func lapses(loan schedule, ask volume, now time.Duration) bool {
+	v := loan.at(now + soon)
+	return v.r < ask.r*3/4 || v.c < ask.c*3/4
 }
 
 // proportion returns the tokens that belong to a part of the bucket's capacity.
@@ -265,7 +281,7 @@
 	for i := range out.Entries {
 		g := &out.Entries[i]
 		o := k.offers[g.Account]
-		if o == nil || o.WantTokens <= g.Tokens {
+		if o == nil {
 			continue
 		}
 		p := b.pool(g.Account, now)
@@ -363,6 +379,7 @@
 	if !x.accept(&r, now) {
 		return false
 	}
+	b.renewed = now
 	if first || r.Stale || party != x.party {
 		return first || r.Stale
 	}
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -185,8 +185,8 @@
 	if a.rate <= 0 || rate <= 0 {
 		return volume{}
 	}
-	c := a.burst * min(rate/a.rate, 1) / 2
-	if c < 1 {
+	c := a.burst * min(rate/a.rate, 1) / 4
+	if c < 8 {
 		return volume{}
 	}
 	// A small bucket spills much of a rate close to its use. The rest of the
@@ -230,7 +230,7 @@
 		}
 	}
 	for _, s := range b.in {
-		if s[0].until < now+renewAhead && s[0].v.r > 0 && b.v.r <= t.r*9/8 {
+		if lapse := s.at(now).r - s.at(now+renewAhead).r; lapse > 0 && b.v.r-lapse < t.r*3/4 {
 			return true
 		}
 	}
--- a/pkg/quota/measure_test.go
+++ b/pkg/quota/measure_test.go
@@ -96,7 +96,7 @@
 			most = max(most, b)
 		}
 		d := (s.now - begin).Seconds()
-		row += fmt.Sprintf(" | %7.1f wrongful of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered),
+		row += fmt.Sprintf(" | %7.1f wrongful (net %7.1f) of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered), 1e5*float64(x.refused-x.ideal)/float64(x.offered),
 			x.offered, float64(sum)/d/float64(hostCount), float64(most)/d, float64(msgs)/d/float64(hostCount))
 		if len(s.faults) > 0 {
 			t.Errorf("%d faults, first: %s", len(s.faults), s.faults[0])
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -13,7 +13,7 @@
 
 // The intervals of a Runner.
 const (
-	reportInterval = time.Second
+	reportInterval = 850 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
 	callTimeout    = 500 * time.Millisecond
 	// parentWait is how long a broker holds a reply back for the root's.
@@ -199,7 +199,7 @@
 }
 
 func jitter() time.Duration {
-	return reportInterval*9/10 + rand.N(reportInterval/5)
+	return reportInterval*19/20 + rand.N(reportInterval/10)
 }
 
 // exchangeMember sends one report of the ledger and reports whether another
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -39,7 +39,10 @@
 }
 
 // A tally counts one account's requests.
-type tally struct{ offered, admitted, refused, wrongful int }
+//
+// ideal counts what an exact central bucket refuses of the same requests, and
+// wrongful the refusals of requests that it admits.
+type tally struct{ offered, admitted, refused, ideal, wrongful int }
 
 // A reference is the exact bucket that all admitted requests together must
 // never overdraw.
@@ -260,7 +263,7 @@
 	})
 }
 
-func (n *node) interval() time.Duration { return reportInterval*9/10 + rand1(n.s, reportInterval/5) }
+func (n *node) interval() time.Duration { return reportInterval*19/20 + rand1(n.s, reportInterval/10) }
 
 func (n *node) avoided(id string) bool { return n.s.now < n.avoid[id] }
 
@@ -435,6 +438,9 @@
 	t := s.stats[name]
 	t.offered++
 	ideal := s.ideals[name].take(s.now)
+	if !ideal {
+		t.ideal++
+	}
 	a := n.ledger.all()[name]
 	now := n.ledger.instant()
 	if n.run == 0 || s.now < n.paused || a == nil || !n.ledger.allowed(now) {
--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -49,7 +49,7 @@
 }
 
 // depositStep is the distance of the steps of a broker's deposits.
-const depositStep = 400 * time.Millisecond
+const depositStep = 200 * time.Millisecond
 
 // ends returns the instants at which the levels of a deposit end, as counted
 // by the child, in rising order.
