spread: pull manifest and missing parts at once

Cause: a pull took a round trip for the manifest and another for the parts. Change: a request for a manifest names the parts that the node has, and the answer brings the others; at most 1,024 digests in a request. Conclusion: one lost message costs one retry instead of up to two.

--- a/pkg/spread/fetch.go
+++ b/pkg/spread/fetch.go
@@ -25,6 +25,8 @@
 	// faster. Without it every leader would read every part.
 	sourceReaders = 8
 	sourceStep    = 300 * time.Millisecond
+	// maxAsked bounds the digests in one request.
+	maxAsked = 1024
 	// maxHolders bounds the peers remembered for one target.
 	maxHolders = 8
 	// maxRemembered bounds the remembered digests of refused versions.
@@ -65,23 +67,25 @@
 	return nil
 }
 
-// Answer returns what the node holds of a request. It returns at least one
-// held part and stops before the payload passes one value of the platform.
+// Answer returns what the node holds of a request. It stops before the payload
+// passes one value of the platform, unless that is the first one.
 func (r *Replica) Answer(q PullRequest) PullReply {
 	var out PullReply
 	if q.HostsRevision > 0 {
 		out.Hosts = r.HostsBytes(q.HostsRevision)
 	}
+	wanted := slices.Clone(q.Parts)
 	if q.Manifest != "" {
 		out.Manifest = r.Manifest(q.Manifest)
+		wanted = append(wanted, r.partsBut(q.Manifest, q.Have)...)
 	}
 	size := out.Size()
-	for _, digest := range q.Parts {
+	for _, digest := range wanted {
 		b := r.Part(digest)
 		if b == nil {
 			continue
 		}
-		if size += len(b); size > config.ValueLimit && len(out.Parts) > 0 {
+		if size += len(b); size > config.ValueLimit && size > len(b) {
 			break
 		}
 		if out.Parts == nil {
@@ -92,6 +96,37 @@
 	return out
 }
 
+// have returns the digests of the held parts.
+func (r *Replica) have() []Digest {
+	var out []Digest
+	if r.held != nil {
+		for d := range r.held.parts {
+			if len(out) < maxAsked {
+				out = append(out, Digest(d))
+			}
+		}
+	}
+	return out
+}
+
+// partsBut returns the digests of the held version's parts that a peer lacks,
+// so that one pull brings manifest and parts.
+func (r *Replica) partsBut(manifest string, have []Digest) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held == nil || r.held.snapshot.Digest != manifest {
+		return nil
+	}
+	var out []string
+	for d := range r.held.parts {
+		if !slices.Contains(have, Digest(d)) {
+			out = append(out, d)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // A Pull is a request to send to a peer.
 type Pull struct {
 	To      hosts.Host
@@ -116,9 +151,10 @@
 		t.holders = append(t.holders[1:], h)
 		q := PullRequest{}
 		if t.manifest == nil {
-			q.Manifest = t.digest
+			q.Manifest, q.Have = t.digest, r.have()
 		} else {
 			q.Parts = t.missing()
+			q.Parts = q.Parts[:min(len(q.Parts), maxAsked)]
 		}
 		return Pull{To: h, Request: q}, true
 	}
--- a/pkg/spread/measure_test.go
+++ b/pkg/spread/measure_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/spread"
 )
 
 var measure = flag.Bool("measure", false, "print the table of traffic and convergence against fleet sizes")
@@ -109,12 +111,82 @@
 	for _, n := range []int{13, 50, 100, 200, 400, 1100, 2200, 4400} {
 		steady := float64(n) // one watch per node and second, before any change
 		burst := float64(n * (parts + 1))
-		free := max(0, capacity-steady)
-		conv := "never: the watches alone exceed the capacity"
-		if free > 0 {
-			conv = fmt.Sprintf("last node after %.0f ms", 1000*float64(n*parts)/capacity)
+		conv := "no convergence: the watches alone exceed the capacity"
+		if steady < capacity {
+			conv = fmt.Sprintf("last node not before %.0f ms", 1000*float64(n*parts)/capacity)
 		}
 		t.Logf("%4d hosts: %.0f reads/s, %.0f reads in the second after a publication, %s; restart of all: %.0f reads at once",
 			n, steady, steady+burst, conv, float64(n*(parts+2)))
 	}
 }
+
+// Prints the reads at the source and the time to be ready when all nodes start
+// at once, without and with FleetHint and seeds.
+func TestMeasureHerd(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	for _, n := range []int{200, 1100} {
+		for _, c := range []struct {
+			name  string
+			hint  int
+			seeds int
+		}{{"neither", 0, 0}, {"FleetHint", n, 0}, {"5 seeds", 0, 5}, {"FleetHint and 5 seeds", n, 5}} {
+			f := newFleet(t, 1, n, 19)
+			f.adjust = func(r *spread.Replica) {
+				r.FleetHint = c.hint
+				for i := range c.seeds {
+					r.Seeds = append(r.Seeds, f.order[i*n/7].host.ControlAddress)
+				}
+			}
+			f.publish(1, 19)
+			f.startAll()
+			since, took := f.now, time.Duration(0)
+			for range 600 {
+				f.run(50 * time.Millisecond)
+				if _, ok := f.slowest(1, since); ok {
+					took = f.now.Sub(since)
+					break
+				}
+			}
+			t.Logf("%4d hosts, %s: peak of %d reads in a second, %d reads, all ready after %v", n, c.name, f.peakReads(), len(f.reads), took)
+		}
+	}
+}
+
+// The decisions of one exchange: both messages, both sides.
+func BenchmarkExchangeDecisions(b *testing.B) {
+	f := newFleet(b, 1, 13, 4)
+	f.publish(1, 4)
+	f.startAll()
+	f.run(10 * time.Second)
+	x, y := f.order[0], f.order[1]
+	for b.Loop() {
+		m := x.r.Request()
+		y.r.Observe(m.Host(), m.Summary, time.Time{})
+		a := y.r.Reply()
+		x.r.Observe(a.Host(), a.Summary, f.now)
+	}
+}
+
+// A new revision of the host list of 1,100 hosts at one node.
+func BenchmarkHostList(b *testing.B) {
+	f := newFleet(b, 1, 1100, 19)
+	n := f.order[0]
+	for b.Loop() {
+		f.start(n)
+		if _, err := n.r.OfferHosts(f.values["hosts"]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(f.values["hosts"])), "bytes")
+}
+
+// Prints the size of the host list on the wire.
+func TestMeasureHostListSize(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	b := newFleet(t, 1, 1100, 19).values["hosts"]
+	t.Logf("1100 hosts: %d bytes, %d compressed", len(b), packedSize(&spread.PullReply{Hosts: b})-8)
+}
--- a/pkg/spread/message.go
+++ b/pkg/spread/message.go
@@ -75,8 +75,10 @@
 
 // A PullRequest asks for bytes by content.
 type PullRequest struct {
-	// Manifest is the digest of the wanted manifest, or "".
-	Manifest string `cbor:"1,keyasint,omitempty"`
+	// Manifest is the digest of the wanted manifest, or "". The parts of that
+	// version are wanted too, except those in Have.
+	Manifest string   `cbor:"1,keyasint,omitempty"`
+	Have     []Digest `cbor:"4,keyasint,omitempty"`
 	// Parts are the digests of the wanted parts.
 	Parts []string `cbor:"2,keyasint,omitempty"`
 	// HostsRevision asks for a host list of at least this revision; 0 for none.
--- a/pkg/spread/property_test.go
+++ b/pkg/spread/property_test.go
@@ -123,3 +123,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.Current().Version, uint64(3))
 }
+
+// Guards against a pull that takes a round trip for the manifest and another
+// for the parts, sends parts that the peer has, or passes the message limit.
+func TestAnswerBringsManifestAndMissingParts(t *testing.T) {
+	t.Parallel()
+	f := running(t, 1, 1, 1, 0)
+	r := f.order[0].r
+	digest := r.Current().Digest
+	a := r.Answer(spread.PullRequest{Manifest: digest})
+	assert.Equal(t, config.DigestOf(a.Manifest), digest)
+	assert.Equal(t, len(a.Parts), 2)
+	for d := range a.Parts {
+		b := r.Answer(spread.PullRequest{Manifest: digest, Have: []spread.Digest{spread.Digest(d)}})
+		assert.Equal(t, len(b.Parts), 1)
+		assert.Assert(t, b.Parts[d] == nil)
+	}
+	a = r.Answer(spread.PullRequest{Parts: []string{"absent"}})
+	assert.Equal(t, a.Size(), 0)
+}
