--- a/internal/experiment/checks.go
+++ b/internal/experiment/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -120,7 +121,10 @@
 }
 
 // A barrier is a time from which something must not get work any more, until
-// it is lifted (0 means never).
+// it is lifted (0 means never). A change that was published while the
+// configuration service had a fault counts from the fault's end: until then
+// nobody can know of it, and a service that answers stale values cannot be told
+// from a good one.
 type barrier struct {
 	kind   string
 	target string
@@ -128,6 +132,10 @@
 	until  time.Duration
 }
 
+// notShown is the start of a barrier whose change the configuration service
+// does not show yet.
+const notShown = time.Duration(math.MaxInt64)
+
 func (b *barrier) holds(at time.Duration) bool {
 	return at > b.from && (b.until == 0 || at < b.until)
 }
--- a/internal/experiment/events.go
+++ b/internal/experiment/events.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	rows     []EventRow
 	barriers []barrier
+	faulty   bool // the configuration service has a fault
 }
 
 // run carries out the events, each at its time after zero.
@@ -106,6 +107,9 @@
 	defer s.mu.Unlock()
 	switch e.Do {
 	case ZoneOut, HostOut, WithdrawKey:
+		if s.faulty {
+			at = notShown
+		}
 		s.barriers = append(s.barriers, barrier{kind: targets[e.Do], target: e.Target, from: at})
 	case ZoneIn, HostIn, GrantKey:
 		for i := range s.barriers {
@@ -117,10 +121,29 @@
 	}
 }
 
+// setFaulty notes that the configuration service has a fault or, with the time
+// of its end, has none any more.
+func (s *stage) setFaulty(on bool, at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faulty = on
+	for i := range s.barriers {
+		if !on && s.barriers[i].from == notShown {
+			s.barriers[i].from = at
+		}
+	}
+}
+
 // act carries out a fault or its end.
 func (s *stage) act(e Event) error {
 	f := s.fleet
 	switch e.Do {
+	case SourceRefuse, SourceFail, SourceHang, SourceStale:
+		s.setFaulty(true, 0)
+	case SourceBack:
+		s.setFaulty(false, s.driver.Since())
+	}
+	switch e.Do {
 	case SourceRefuse, SourceFail, SourceHang, SourceStale, PartitionZone, KillNode, StopNode, RestartNodes, CrossNext, SilencePeers:
 		s.watcher.disturb(true)
 	}
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -122,6 +122,7 @@
 		SourceCounts: func() standin.Counts { return standin.Counts{} },
 		Executions:   x,
 		Publish:      func([]byte, map[string][]byte) error { version.Add(1); return nil },
+		Source:       func(standin.Fault) error { return nil },
 	}
 	m.publication.Version = 5
 	r := &Run{Spec: spec, Deployment: d, Fleet: f, Publication: m.publication}
@@ -184,3 +185,22 @@
 	assert.NilError(t, r.WriteJSON(&js))
 	assert.Assert(t, strings.Contains(text.String(), "BROKEN"))
 }
+
+// Guards against blaming the mesh for a withdrawal that the configuration
+// service did not show to anybody, and against forgetting it once it does.
+func TestWithdrawalCountsFromWhenItIsShown(t *testing.T) {
+	for _, c := range []struct {
+		backMs int
+		broken bool
+	}{{300, true}, {3000, false}} {
+		s := spec(0.2)
+		s.RunMs = 5000
+		s.Events = []Event{{AtMs: 100, Do: SourceStale}, {AtMs: 200, Do: WithdrawKey, Target: "vets"}, {AtMs: c.backMs, Do: SourceBack}}
+		err := runFake(t, s, "").Err()
+		if c.broken {
+			assert.ErrorContains(t, err, "P8")
+		} else {
+			assert.NilError(t, err)
+		}
+	}
+}
