--- a/internal/backend/ending.go
+++ b/internal/backend/ending.go
@@ -27,11 +27,34 @@
 // failed ends a call that got no answer and says what that means to the
 // caller.
 func (e *ending) failed(ctx context.Context, err error) error {
+	if f := dialRefusal(err); f != nil {
+		// The gate spares the server a connection; the server did nothing.
+		e.finish(gate.CallerGone)
+		return &call.NotRun{Reason: string(f.Reason), Final: f.Reason == gate.Canceled}
+	}
 	e.finish(outcome(ctx, err))
 	if errorx.IsOfType(err, http1.NotSent) {
+		if n := call.Ended(ctx); n != nil {
+			return n
+		}
 		return &call.NotRun{Reason: "ServerUnreachable"}
 	}
-	return &call.Unknown{Reason: "no whole answer from the backend server", Cause: err, Deeper: e.entry.HasNestedFailure()}
+	u := &call.Unknown{Reason: "no whole answer from the backend server", Cause: err, Deeper: e.entry.HasNestedFailure()}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		u.Cause = ctx.Err()
+	}
+	return u
+}
+
+// dialRefusal returns the gate's refusal of a new connection to the server.
+func dialRefusal(err error) *gate.Refusal {
+	var f *gate.Refusal
+	for x := errorx.Cast(err); x != nil; x = errorx.Cast(x.Cause()) {
+		if errors.As(x.Cause(), &f) {
+			return f
+		}
+	}
+	return nil
 }
 
 // finish releases the slot.
--- /dev/null
+++ b/internal/backend/server_test.go
@@ -0,0 +1,266 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/backend"
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/gate"
+)
+
+// newServer returns the way to a backend server at addr, with 4 slots of
+// which 2 are open at first.
+func newServer(t *testing.T, addr string) *backend.Server {
+	t.Helper()
+	g, p := gate.New(), http1.New(addr)
+	g.Configure(gate.Limits{Slots: 4, ColdSlots: 2, ConnectionsPerSecond: 100, QueuePerAccount: 4})
+	t.Cleanup(p.Close)
+	v := &config.Snapshot{Version: 3, Accounts: map[string]*config.ClientAccount{"club": {Name: "club"}}}
+	return &backend.Server{
+		Host: "h", Service: "desk", Gate: g, Pool: p, Running: backend.NewRunning(), Now: time.Now,
+		Snapshot: func() *config.Snapshot { return v }, WaitVersion: func(context.Context, uint64) bool { return true },
+	}
+}
+
+func serve(t *testing.T, h http.HandlerFunc) *backend.Server {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return newServer(t, s.Listener.Addr().String())
+}
+
+// script answers each connection's first request with the text and closes.
+func script(t *testing.T, text string) *backend.Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		}
+	}()
+	return newServer(t, l.Addr().String())
+}
+
+func newCall() call.Call {
+	return call.Call{ID: "id", Service: "desk", Account: "club", Deadline: time.Now().Add(10 * time.Second)}
+}
+
+func request(body string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "/entries", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer secret")
+	r.Header.Set("Quetzaldock-Account", "forged")
+	return r
+}
+
+// assertFree checks that no slot is held and no token is known.
+func assertFree(t *testing.T, s *backend.Server) {
+	t.Helper()
+	assert.Equal(t, s.Gate.Load().Running, 0)
+	assert.Equal(t, s.Running.Len(), 0)
+}
+
+// Guards against calls that run where they must not, and against refusals that
+// hold a slot.
+func TestServerRefuses(t *testing.T) {
+	ran := 0
+	for _, c := range []struct {
+		reason string
+		final  bool
+		change func(s *backend.Server, c *call.Call)
+	}{
+		{"Behind", false, func(s *backend.Server, _ *call.Call) {
+			s.WaitVersion = func(context.Context, uint64) bool { return false }
+		}},
+		{"Starting", false, func(s *backend.Server, _ *call.Call) { s.Snapshot = func() *config.Snapshot { return nil } }},
+		{"WrongService", false, func(_ *backend.Server, c *call.Call) { c.Service = "records" }},
+		{"Late", true, func(_ *backend.Server, c *call.Call) { c.Deadline = time.Now().Add(-time.Second) }},
+		{"UnknownAccount", true, func(_ *backend.Server, c *call.Call) { c.Account = "left" }},
+		{"Leaving", false, func(s *backend.Server, _ *call.Call) { s.Gate.SetState(gate.StateLeaving) }},
+		{"ZoneOut", false, func(s *backend.Server, _ *call.Call) { s.Gate.SetState(gate.StateZoneOut) }},
+	} {
+		s := serve(t, func(http.ResponseWriter, *http.Request) { ran++ })
+		k := newCall()
+		c.change(s, &k)
+		_, err := s.Do(context.Background(), k, request(""))
+		n, ok := err.(*call.NotRun)
+		assert.Assert(t, ok, "%v", err)
+		assert.Equal(t, n.Reason, c.reason)
+		assert.Equal(t, n.Final, c.final, c.reason)
+		assertFree(t, s)
+	}
+	assert.Equal(t, ran, 0)
+}
+
+// Guards against a key or forged header that reaches the server (P7, P6), and
+// against a token that is unknown while the call runs or known afterwards.
+func TestServerSendsWhoseCallItIs(t *testing.T) {
+	var got http.Header
+	var s *backend.Server
+	known := false
+	s = serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		_, known = s.Running.Find(r.Header.Get("Quetzaldock-Call"))
+		w.Header().Set("Quetzaldock-Not-Run", "forged")
+		w.Header().Set("Quetzaldock-Outcome", "done")
+		w.Header().Set("X-Own", "1")
+		_, _ = io.WriteString(w, "ok")
+	})
+	a, err := s.Do(context.Background(), newCall(), request("body"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Get("Authorization"), "")
+	assert.DeepEqual(t, got["Quetzaldock-Account"], []string{"club"})
+	assert.Assert(t, known)
+	_, known = s.Running.Find(got.Get("Quetzaldock-Call"))
+	assert.Assert(t, known, "the answer has not ended")
+	assert.Equal(t, s.Gate.Load().Running, 1)
+	b, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), "ok")
+	assertFree(t, s)
+	assert.NilError(t, a.Body.Close())
+	assertFree(t, s)
+	assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), "")
+	assert.Equal(t, a.Header.Get("Quetzaldock-Outcome"), "")
+	assert.Equal(t, a.Header.Get("X-Own"), "1")
+}
+
+// Guards against a slot or token that a failed call keeps, and against a
+// failure that is reported as not run.
+func TestServerFailureFreesTheSlot(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	unreachable := newServer(t, closed.Addr().String())
+	_, err = unreachable.Do(context.Background(), newCall(), request(""))
+	assert.Error(t, err, "not run: ServerUnreachable")
+	assertFree(t, unreachable)
+
+	for _, text := range []string{"", "garbage\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n"} {
+		s := script(t, text)
+		_, err := s.Do(context.Background(), newCall(), request("body"))
+		u, ok := err.(*call.Unknown)
+		assert.Assert(t, ok, "%q: %v", text, err)
+		assert.Assert(t, !u.Deeper)
+		assertFree(t, s)
+	}
+}
+
+// Guards against a slot that is held, or given back twice, when an answer
+// breaks off after its header.
+func TestServerBrokenAnswerFreesTheSlotOnce(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		s := script(t, text)
+		a, err := s.Do(context.Background(), newCall(), request(""))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Gate.Load().Running, 1)
+		b, err := io.ReadAll(a.Body)
+		assert.Equal(t, string(b), "half")
+		assert.Assert(t, err != nil)
+		assertFree(t, s)
+		_, err = a.Body.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+		assert.NilError(t, a.Body.Close())
+		assertFree(t, s)
+	}
+}
+
+// Guards against a slot that stays taken after the caller went away or the
+// deadline passed, before and after the answer's header.
+func TestServerEndedCallFreesTheSlot(t *testing.T) {
+	gone := make(chan struct{}, 1)
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Query().Get("header") != "" {
+			_ = http.NewResponseController(w).Flush()
+		}
+		<-r.Context().Done()
+		gone <- struct{}{}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := s.Do(ctx, newCall(), request("body"))
+	assert.Assert(t, err != nil)
+	assertFree(t, s)
+	<-gone
+
+	ctx, cancel = context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = s.Do(ctx, newCall(), request("body"))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assertFree(t, s)
+	<-gone
+
+	ctx, cancel = context.WithCancel(context.Background())
+	r := request("body")
+	r.URL.RawQuery = "header=1"
+	a, err := s.Do(ctx, newCall(), r)
+	assert.NilError(t, err)
+	cancel()
+	_, err = io.ReadAll(a.Body)
+	assert.Assert(t, err != nil)
+	assertFree(t, s)
+	<-gone
+}
+
+// Guards against a call that was given up before it was sent, or that the gate
+// opens no connection for, being held against the server.
+func TestServerIsNotBlamedForUnsentCalls(t *testing.T) {
+	s := serve(t, func(http.ResponseWriter, *http.Request) {})
+	s.Pool.Dial = func(ctx context.Context) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := s.Do(ctx, newCall(), request(""))
+	assert.Error(t, err, "not run: Canceled")
+
+	s.Pool.Dial = func(context.Context) (net.Conn, error) { return nil, gate.Refuse(gate.Overloaded) }
+	_, err = s.Do(context.Background(), newCall(), request(""))
+	assert.Error(t, err, "not run: Overloaded")
+	assertFree(t, s)
+}
+
+// Guards against an upper level that repeats what a lower one has repeated.
+func TestServerMarksFailuresOfNestedCalls(t *testing.T) {
+	var s *backend.Server
+	s = serve(t, func(w http.ResponseWriter, r *http.Request) {
+		e, ok := s.Running.Find(r.Header.Get("Quetzaldock-Call"))
+		if ok && r.URL.Query().Get("nested") != "" {
+			e.NestedFailed()
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	for query, want := range map[string]string{"": "", "nested=1": "no"} {
+		r := request("")
+		r.URL.RawQuery = query
+		a, err := s.Do(context.Background(), newCall(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Header.Get("Quetzaldock-Retry"), want)
+		assert.NilError(t, a.Body.Close())
+		assertFree(t, s)
+	}
+}
--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -30,6 +30,8 @@
 	released bool
 	// ended is set once the body was read to its end.
 	ended bool
+	// limited is set while a read deadline of Limit is in force.
+	limited bool
 }
 
 // NewBody makes the request full duplex and guards its body. A request
@@ -54,11 +56,28 @@
 	if err != nil {
 		b.mu.Lock()
 		b.ended = err == io.EOF
+		if b.ended && b.limited {
+			// net/http now watches the connection for the client's close; a
+			// read deadline would look like one.
+			b.limited = false
+			_ = http.NewResponseController(b.w).SetReadDeadline(time.Time{})
+		}
 		b.mu.Unlock()
 	}
 	return n, err
 }
 
+// Limit bounds the time that the body may take to arrive. Without it a body
+// that stops midway would hold its handler for as long as the client likes.
+func (b *Body) Limit(deadline time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		b.limited = true
+		_ = http.NewResponseController(b.w).SetReadDeadline(deadline)
+	}
+}
+
 // Close implements io.Closer. The server closes the body itself.
 func (b *Body) Close() error { return nil }
 
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,6 +4,8 @@
 package call
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -48,10 +50,25 @@
 // Error implements error.
 func (e *NotRun) Error() string { return "not run: " + e.Reason }
 
+// Ended returns the refusal of a call that was given up before it was sent, or
+// nil while ctx has not ended. Such a call says nothing about the host that it
+// was meant for.
+func Ended(ctx context.Context) *NotRun {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &NotRun{Reason: "Late", Final: true}
+	default:
+		return &NotRun{Reason: "Canceled", Final: true}
+	}
+}
+
 // An Unknown error means that the request may have run.
 type Unknown struct {
 	Reason string
-	// Cause may be nil.
+	// Cause may be nil. It is context.DeadlineExceeded if the time limit of
+	// the call passed.
 	Cause error
 	// Deeper is set when the failure arose in a nested call that has been
 	// tried again there.
--- /dev/null
+++ b/internal/caller/claims_test.go
@@ -0,0 +1,231 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/caller"
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/once"
+)
+
+var errSilent = errors.New("silent")
+
+// panel returns the panel of three hosts in three zones: each is a witness of
+// each key of the service.
+func panel(t *testing.T) *once.Panel {
+	t.Helper()
+	s := &config.Snapshot{Hosts: map[string]*config.Host{}}
+	for _, id := range []string{"self", "w1", "w2"} {
+		s.Hosts[id] = &config.Host{ID: id, Service: "desk", Zone: "z-" + id}
+	}
+	return once.NewPanel(s)
+}
+
+// votes answers claims with a fixed answer for each host. A host without an
+// answer is silent.
+type votes struct {
+	mu      sync.Mutex
+	answers map[string]once.Answer
+	// silentFor is how many claims of each host get no answer at first.
+	silentFor map[string]int
+	asked     map[string]int
+	ended     map[string]peer.ClaimRequest
+	holders   map[string]bool
+}
+
+func newVotes(answers map[string]once.Answer) *votes {
+	return &votes{
+		answers: answers, silentFor: map[string]int{}, asked: map[string]int{},
+		ended: map[string]peer.ClaimRequest{}, holders: map[string]bool{},
+	}
+}
+
+func (v *votes) ask(_ context.Context, to hosts.Host, in peer.ClaimRequest) (peer.ClaimReply, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if in.Ended {
+		v.ended[to.ID] = in
+		return peer.ClaimReply{}, nil
+	}
+	v.asked[to.ID]++
+	v.holders[in.Holder] = true
+	if v.asked[to.ID] <= v.silentFor[to.ID] {
+		return peer.ClaimReply{}, errSilent
+	}
+	a, ok := v.answers[to.ID]
+	if !ok {
+		return peer.ClaimReply{}, errSilent
+	}
+	return peer.ClaimReply{Answer: a}, nil
+}
+
+// newClaims returns claims whose own witness knows nothing and abstains.
+func newClaims(t *testing.T, ask func(context.Context, hosts.Host, peer.ClaimRequest) (peer.ClaimReply, error)) *caller.Claims {
+	t.Helper()
+	c, p := caller.NewClaims(), panel(t)
+	c.Self, c.Witness, c.Ask = "self", once.NewWitness("self"), ask
+	c.Panel = func() *once.Panel { return p }
+	c.Host = func(id string) (hosts.Host, bool) { return hosts.Host{ID: id}, true }
+	return c
+}
+
+// Guards against a request that runs without the consent of a majority, and
+// against refusals that name the wrong cause.
+func TestClaimsFollowTheMajority(t *testing.T) {
+	granted, held, abstained := once.Answer{Verdict: once.Granted}, once.Answer{Verdict: once.Held}, once.Answer{Verdict: once.Abstained}
+	done, lost, full := once.Answer{Verdict: once.Done, Status: 201}, once.Answer{Verdict: once.Lost}, once.Answer{Verdict: once.Full}
+	for _, c := range []struct {
+		name    string
+		answers map[string]once.Answer
+		want    string
+	}{
+		{"two grant", map[string]once.Answer{"w1": granted, "w2": granted}, ""},
+		{"all others silent", nil, "outcome unknown: an earlier request with this key may have run"},
+		{"one silent", map[string]once.Answer{"w1": granted}, "outcome unknown: an earlier request with this key may have run"},
+		{"both abstain", map[string]once.Answer{"w1": abstained, "w2": abstained}, "outcome unknown: an earlier request with this key may have run"},
+		{"one holds", map[string]once.Answer{"w1": held, "w2": granted}, "a request with the same key is running"},
+		{"one knows the end", map[string]once.Answer{"w1": done, "w2": granted}, "a request with the same key ended with status 201"},
+		{"one lost it", map[string]once.Answer{"w1": lost, "w2": granted}, "outcome unknown: an earlier request with this key may have run"},
+		{"one is full", map[string]once.Answer{"w1": full, "w2": granted}, "outcome unknown: an earlier request with this key may have run"},
+	} {
+		v := newVotes(c.answers)
+		x := newClaims(t, v.ask)
+		claim, err := x.Begin(context.Background(), once.Key{Service: "desk", Account: "club", Value: "k"})
+		if c.want == "" {
+			assert.NilError(t, err, c.name)
+			claim.End(once.Answered, 200)
+		} else {
+			assert.Error(t, err, c.want)
+		}
+		x.Close()
+		assert.Equal(t, len(v.holders), 1, c.name)
+		// Each witness that may have granted the key hears how it ended.
+		want := once.NotRun
+		if c.want == "" {
+			want = once.Answered
+		}
+		assert.Equal(t, v.ended["w1"].Outcome, want, c.name)
+		assert.Equal(t, v.ended["w2"].Outcome, want, c.name)
+	}
+}
+
+// Guards against requests refused because the first claim of a witness met a
+// connection that had gone silent.
+func TestClaimsAskSilentWitnessesAgain(t *testing.T) {
+	v := newVotes(map[string]once.Answer{"w1": {Verdict: once.Granted}, "w2": {Verdict: once.Granted}})
+	v.silentFor["w2"] = 1
+	x := newClaims(t, v.ask)
+	defer x.Close()
+	_, err := x.Begin(context.Background(), once.Key{Service: "desk", Value: "k"})
+	assert.NilError(t, err)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	assert.Equal(t, v.asked["w1"], 1)
+	assert.Equal(t, v.asked["w2"], 2)
+}
+
+// Guards against a claim without any witness that is taken for consent.
+func TestClaimsNeedWitnesses(t *testing.T) {
+	x := newClaims(t, newVotes(nil).ask)
+	defer x.Close()
+	_, err := x.Begin(context.Background(), once.Key{Service: "unpublished", Value: "k"})
+	assert.Error(t, err, "not run: NoMajority")
+}
+
+// Guards against calls that wait for reports: with witnesses that do not
+// answer, the queue of reports fills up.
+func TestClaimsDropReportsBeyondTheQueue(t *testing.T) {
+	stuck := make(chan struct{})
+	var reports atomic.Int64
+	v := newVotes(map[string]once.Answer{"w1": {Verdict: once.Granted}, "w2": {Verdict: once.Granted}})
+	x := newClaims(t, func(ctx context.Context, to hosts.Host, in peer.ClaimRequest) (peer.ClaimReply, error) {
+		if in.Ended {
+			reports.Add(1)
+			<-stuck
+		}
+		return v.ask(ctx, to, in)
+	})
+	claim, err := x.Begin(context.Background(), once.Key{Service: "desk", Value: "k"})
+	assert.NilError(t, err)
+	for range 5000 {
+		claim.End(once.Answered, 200)
+	}
+	close(stuck)
+	x.Close()
+	assert.Assert(t, reports.Load() < 2*5000, "%d reports", reports.Load())
+	assert.Assert(t, reports.Load() >= 4096, "%d reports", reports.Load())
+}
+
+// Guards against a key that stays claimed after its request provably did not
+// run, so that the caller's repeat is refused for ten minutes.
+func TestIncompleteBodyLeavesItsKeyFree(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	v := newVotes(map[string]once.Answer{"w1": {Verdict: once.Granted}, "w2": {Verdict: once.Granted}})
+	x.Dispatcher.Claims = newClaims(t, v.ask)
+	c := x.dial()
+	_, err := io.WriteString(c, "POST /entries HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nIdempotency-Key: k\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	assert.NilError(t, c.(interface{ CloseWrite() error }).CloseWrite())
+	a, body := x.read(c)
+	assert.Equal(t, a.StatusCode, 400, body)
+	x.Dispatcher.Claims.Close()
+	assert.Equal(t, len(v.holders), 0)
+	assert.Equal(t, len(v.ended), 0)
+}
+
+// Guards against witnesses that are not told how a claimed request ended, or
+// told that a request did not run which may have.
+func TestDispatcherReportsTheEndOfClaims(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		local  server
+		status int
+		want   once.Outcome
+	}{
+		{"answered", answers(201), 201, once.Answered},
+		{"not run", fails(&call.NotRun{Reason: "Late", Final: true}), 503, once.NotRun},
+		{"unknown", fails(broken), 502, once.Unknown},
+	} {
+		x := newRig(t)
+		x.local(c.local)
+		v := newVotes(map[string]once.Answer{"w1": {Verdict: once.Granted}, "w2": {Verdict: once.Granted}})
+		x.Dispatcher.Claims = newClaims(t, v.ask)
+		a, body := x.do(http.MethodPost, "/entries", "Idempotency-Key: k", "Content-Length: 0")
+		assert.Equal(t, a.StatusCode, c.status, body)
+		x.Dispatcher.Claims.Close()
+		assert.Equal(t, v.ended["w1"].Outcome, c.want, c.name)
+		if c.want == once.Answered {
+			assert.Equal(t, v.ended["w1"].Status, c.status)
+		}
+	}
+}
+
+// Guards against a claim that outlives its call while all witnesses are silent.
+func TestClaimsEndWithTheirCall(t *testing.T) {
+	stuck := make(chan struct{})
+	x := newClaims(t, func(_ context.Context, _ hosts.Host, in peer.ClaimRequest) (peer.ClaimReply, error) {
+		if !in.Ended {
+			<-stuck
+		}
+		return peer.ClaimReply{}, errSilent
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := x.Begin(ctx, once.Key{Service: "desk", Value: "k"})
+	assert.Assert(t, err != nil)
+	close(stuck)
+	x.Close()
+}
--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -40,14 +40,20 @@
 // fails with *call.NotRun only if no attempt can have run. A non-idempotent
 // request with a key runs only with the consent of the key's witnesses.
 func (d *Dispatcher) Do(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+	// A short body is complete before the key is claimed. A body that breaks
+	// off would otherwise leave its key behind as possibly run.
+	b, err := newReplay(r)
+	if err != nil {
+		return nil, err
+	}
 	if c.Key == "" || c.Idempotent {
-		return d.run(ctx, c, r)
+		return d.run(ctx, c, r, b)
 	}
 	x, err := d.Claims.Begin(ctx, once.Key{Service: c.Service, Account: c.Account, Value: c.Key})
 	if err != nil {
 		return nil, err
 	}
-	a, err := d.run(ctx, c, r)
+	a, err := d.run(ctx, c, r, b)
 	switch {
 	case err == nil:
 		x.End(once.Answered, a.StatusCode)
@@ -60,32 +66,34 @@
 }
 
 // run makes attempts until one is answered or no further one is allowed.
-func (d *Dispatcher) run(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+func (d *Dispatcher) run(ctx context.Context, c call.Call, r *http.Request, b *replay) (*http.Response, error) {
 	d.Budget.Earned(c.Service)
-	b, err := newReplay(r)
-	if err != nil {
-		return nil, err
+	t, ok := d.Chooser.Pick(c.Service, nil)
+	if !ok {
+		return nil, &call.NotRun{Reason: "NoHost"}
 	}
 	var tried []string
 	unknown := false
 	for n := 1; ; n++ {
-		t, ok := d.Chooser.Pick(c.Service, tried)
-		if !ok {
-			return nil, d.last(&call.NotRun{Reason: "NoHost"}, unknown)
-		}
-		a, err := d.attempt(ctx, t, c, r, b)
-		if err == nil && !d.shouldRetryAnswer(a, c, n, b) {
+		p := &attempt{Target: t, number: n, body: b}
+		a, err := d.attempt(ctx, p, c, r)
+		if err == nil && !mayRetryAnswer(a) {
 			return a, nil
 		}
+		// Without another host the answer or refusal of this one stands.
+		tried = append(tried, t.ID)
+		t, ok = d.Chooser.Pick(c.Service, tried)
+		p.final = !ok
 		if err == nil {
+			if !d.shouldRetryAnswer(a, c, p) {
+				return a, nil
+			}
 			discard(a)
 			unknown = true
-			tried = append(tried, t.ID)
 			continue
 		}
-		switch d.decide(err, c, n, unknown, b) {
+		switch d.decide(err, c, p, unknown) {
 		case balance.Retry:
-			tried = append(tried, t.ID)
 			unknown = unknown || !isNotRun(err)
 		case balance.GiveUpNotRun:
 			return nil, err
@@ -95,6 +103,19 @@
 	}
 }
 
+// An attempt is one try of a call at one host.
+type attempt struct {
+	balance.Target
+	// number is 1 for the first attempt.
+	number int
+	body   *replay
+	// paid is set when the retry that follows was already taken from the
+	// budget.
+	paid bool
+	// final is set when no other host is left.
+	final bool
+}
+
 // last makes sure that a call of which an attempt may have run is not
 // reported as not run.
 func (d *Dispatcher) last(err error, unknown bool) error {
@@ -106,10 +127,10 @@
 }
 
 // attempt runs the call at one host.
-func (d *Dispatcher) attempt(ctx context.Context, t balance.Target, c call.Call, r *http.Request, b *replay) (*http.Response, error) {
+func (d *Dispatcher) attempt(ctx context.Context, t *attempt, c call.Call, r *http.Request) (*http.Response, error) {
 	d.Chooser.Started(t.ID)
 	q := r.WithContext(ctx)
-	q.Body = b.next()
+	q.Body = t.body.next()
 	var a *http.Response
 	var l peercall.Load
 	var err error
@@ -123,23 +144,36 @@
 	return a, err
 }
 
-// remote sends the call to another host. An idempotent attempt that gets no
-// answer for silentAfter is given up in favour of another host.
-func (d *Dispatcher) remote(ctx context.Context, t balance.Target, c call.Call, r *http.Request) (*http.Response, peercall.Load, error) {
+// remote sends the call to another host. The first attempt of an idempotent
+// call that gets no answer for silentAfter is given up in favour of another
+// host, if the budget allows that. Later attempts wait until the deadline, or
+// a call that takes longer than silentAfter could never be answered.
+func (d *Dispatcher) remote(ctx context.Context, t *attempt, c call.Call, r *http.Request) (*http.Response, peercall.Load, error) {
 	peer := peercall.Peer{Host: t.ID, Address: t.CallAddress}
-	if !c.Idempotent {
+	if !c.Idempotent || t.number > 1 {
 		return d.Peers.Do(ctx, peer, c, r, r.Body)
 	}
 	q, cancel := context.WithCancel(ctx)
+	given := make(chan bool, 1)
 	silent := time.AfterFunc(silentAfter, func() {
-		d.Peers.Silent(peer)
-		cancel()
+		_, other := d.Chooser.Pick(c.Service, []string{t.ID})
+		up := other && t.body.small && d.Budget.Allow(c.Service, d.Now())
+		if up {
+			d.Peers.Silent(peer)
+			cancel()
+		}
+		given <- up
 	})
 	a, l, err := d.Peers.Do(q, peer, c, r, r.Body)
-	if !silent.Stop() && err == nil {
-		// The answer came just as the attempt was given up.
-		discard(a)
-		err = &call.Unknown{Reason: "no answer in time"}
+	if !silent.Stop() {
+		t.paid = <-given
+	}
+	if t.paid {
+		if err == nil {
+			// The answer came just as the attempt was given up.
+			discard(a)
+		}
+		err = givenUp(err)
 	}
 	if err != nil {
 		cancel()
@@ -149,6 +183,14 @@
 	return a, l, nil
 }
 
+// givenUp returns the error of an attempt that was given up as silent.
+func givenUp(err error) error {
+	if isNotRun(err) {
+		return &call.NotRun{Reason: "Unreachable"}
+	}
+	return &call.Unknown{Reason: "no answer in time"}
+}
+
 // A cancelBody releases the attempt's context when the answer is closed.
 type cancelBody struct {
 	io.ReadCloser
@@ -162,7 +204,7 @@
 	return err
 }
 
-func (d *Dispatcher) decide(err error, c call.Call, n int, unknown bool, b *replay) balance.Decision {
+func (d *Dispatcher) decide(err error, c call.Call, t *attempt, unknown bool) balance.Decision {
 	var nr *call.NotRun
 	var u *call.Unknown
 	var rep *call.Repeat
@@ -170,25 +212,38 @@
 		return balance.GiveUpUnknown
 	}
 	notRun := errors.As(err, &nr)
-	final := (notRun && nr.Final) || (errors.As(err, &u) && u.Deeper) || !b.canRepeat()
+	final := t.final || (notRun && nr.Final) || (errors.As(err, &u) && u.Deeper) || !t.body.canRepeat()
 	return balance.Decide(balance.Attempt{
-		Service: c.Service, Number: n, NotRun: notRun, Sent: !notRun, EarlierUnknown: unknown,
-		Idempotent: c.Idempotent, NoRetry: final, Now: d.Now(), Deadline: c.Deadline, Allow: d.Budget.Allow,
+		Service: c.Service, Number: t.number, NotRun: notRun, Sent: !notRun, EarlierUnknown: unknown,
+		Idempotent: c.Idempotent, NoRetry: final, Now: d.Now(), Deadline: c.Deadline, Allow: d.allow(t),
 	})
 }
 
-// shouldRetryAnswer reports whether an answer is a failure of the backend
-// server that another one may not have. Only idempotent calls are repeated.
-func (d *Dispatcher) shouldRetryAnswer(a *http.Response, c call.Call, n int, b *replay) bool {
+// allow takes a retry from the budget unless the attempt has done so.
+func (d *Dispatcher) allow(t *attempt) func(string, time.Time) bool {
+	if t.paid {
+		return nil
+	}
+	return d.Budget.Allow
+}
+
+// mayRetryAnswer reports whether an answer is a failure of the backend server
+// that another one may not have.
+func mayRetryAnswer(a *http.Response) bool {
 	switch a.StatusCode {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-	default:
-		return false
+		return true
 	}
+	return false
+}
+
+// shouldRetryAnswer decides about an answer that may be retried. Only
+// idempotent calls are repeated.
+func (d *Dispatcher) shouldRetryAnswer(a *http.Response, c call.Call, t *attempt) bool {
 	return balance.Decide(balance.Attempt{
-		Service: c.Service, Number: n, Sent: true, Idempotent: c.Idempotent,
-		NoRetry: !b.canRepeat() || a.Header.Get(call.HeaderRetry) == "no",
-		Now:     d.Now(), Deadline: c.Deadline, Allow: d.Budget.Allow,
+		Service: c.Service, Number: t.number, Sent: true, Idempotent: c.Idempotent,
+		NoRetry: t.final || !t.body.small || a.Header.Get(call.HeaderRetry) == "no",
+		Now:     d.Now(), Deadline: c.Deadline, Allow: d.allow(t),
 	}) == balance.Retry
 }
 
@@ -199,10 +254,10 @@
 	switch {
 	case err == nil:
 		return balance.Good
-	case errors.As(err, &n):
-		return refusalResult(n.Reason)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return balance.Canceled
+	case errors.As(err, &n):
+		return refusalResult(n.Reason)
 	case errors.As(err, &u):
 		return balance.Failed
 	default:
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/backend"
 	"quetzaldock.example/quetzaldock/internal/call"
 	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/gate"
 )
 
 const (
@@ -24,6 +26,12 @@
 	// maxTimeout bounds the time limit of a call. It is well below the time
 	// for which witnesses remember keys, so that no call outlives its record.
 	maxTimeout = 5 * time.Minute
+	// writeGrace is how long after its deadline a call's answer, or after its
+	// arrival a refusal, may take to be written.
+	writeGrace = time.Second
+	// DefaultMaxCalls is about four times what a node carries at the target:
+	// 155 calls a second with a time limit of 3 s.
+	DefaultMaxCalls = 2048
 )
 
 // A Handler serves the caller listener. Its exported fields are set before
@@ -53,6 +61,12 @@
 	Observe func(o Observation)
 	Zone    string
 	Now     func() time.Time
+	// MaxCalls bounds the calls of callers that run or wait at once; 0 means
+	// DefaultMaxCalls. Nested calls are not counted: they belong to calls that
+	// were admitted before, and refusing them would waste those.
+	MaxCalls int
+
+	calls atomic.Int64
 }
 
 // An Observation describes one answered call.
@@ -79,6 +93,11 @@
 	if h.Closing() {
 		s.Header().Set("Connection", "close")
 	}
+	// The body is guarded before any refusal: net/http would otherwise wait
+	// for the rest of a refused body before it sends the refusal.
+	b := call.NewBody(w, r)
+	defer b.Release()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	c, route, err := h.accept(r, began)
 	if route != nil {
 		o.Account, o.Route = c.Account, route.Prefix
@@ -87,15 +106,29 @@
 		writeError(s, err)
 		return
 	}
+	if c.Depth == 0 {
+		defer h.calls.Add(-1)
+		if h.calls.Add(1) > int64(h.maxCalls()) {
+			writeError(s, &call.NotRun{Reason: string(gate.Overloaded)})
+			return
+		}
+	}
 	s.Header().Set(call.HeaderID, c.ID)
-	defer call.NewBody(w, r).Release()
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	b.Limit(c.Deadline)
 	// A caller that stops reading must not hold a slot past the deadline.
-	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(time.Second))
+	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(writeGrace))
 	h.serve(ctx, s, r, c)
 }
 
+func (h *Handler) maxCalls() int {
+	if h.MaxCalls > 0 {
+		return h.MaxCalls
+	}
+	return DefaultMaxCalls
+}
+
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, c call.Call) {
 	if c.Account != "" && c.Depth == 0 && !h.Charge(ctx, c.Account, c.Deadline) {
 		writeError(w, &Rejection{Status: http.StatusTooManyRequests, Reason: "RateExceeded"})
@@ -126,6 +159,9 @@
 
 // accept turns a request into a call or says why it is refused.
 func (h *Handler) accept(r *http.Request, now time.Time) (call.Call, *config.Route, error) {
+	if r.Method == http.MethodConnect {
+		return call.Call{}, nil, &Rejection{Status: http.StatusMethodNotAllowed, Reason: "MethodNotAllowed"}
+	}
 	if !h.WaitVersion(r.Context()) {
 		return call.Call{}, nil, &call.NotRun{Reason: "Behind"}
 	}
@@ -206,7 +242,7 @@
 // limit sets the deadline, which a nested call has inherited.
 func (h *Handler) limit(c *call.Call, v *config.Snapshot, r *http.Request, now time.Time) error {
 	e := v.Effective(c.Service, h.Zone, c.Account)
-	if headerBytes(r.Header) > e.MaxHeaderBytes {
+	if len(r.RequestURI)+len(r.Host)+headerBytes(r.Header) > e.MaxHeaderBytes {
 		return &Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "HeaderTooLarge"}
 	}
 	limit := time.Duration(e.CallTimeoutMs) * time.Millisecond
--- /dev/null
+++ b/internal/caller/handler_test.go
@@ -0,0 +1,217 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/caller"
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// Guards against bad requests that reach a backend server or are charged, and
+// against refusals that are not marked as not run.
+func TestHandlerRefusesBadRequests(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	for _, c := range []struct {
+		name, method, path string
+		headers            []string
+		status             int
+		reason             string
+	}{
+		{"no route", "GET", "/other", nil, 404, "NoRoute"},
+		{"path that climbs out of an open route", "GET", "/public/../entries", nil, 404, "NoRoute"},
+		{"tunnel", "CONNECT", "/entries", nil, 405, "MethodNotAllowed"},
+		{"zero time limit", "GET", "/entries", []string{"Quetzaldock-Timeout-Ms: 0"}, 400, "BadTimeout"},
+		{"negative time limit", "GET", "/entries", []string{"Quetzaldock-Timeout-Ms: -5"}, 400, "BadTimeout"},
+		{"time limit beyond 32 bits", "GET", "/entries", []string{"Quetzaldock-Timeout-Ms: 99999999999"}, 400, "BadTimeout"},
+		{"time limit of words", "GET", "/entries", []string{"Quetzaldock-Timeout-Ms: soon"}, 400, "BadTimeout"},
+		{"long header", "GET", "/entries", []string{"X-Long: " + strings.Repeat("x", 5000)}, 431, "HeaderTooLarge"},
+		{"long query", "GET", "/entries?" + strings.Repeat("x", 5000), nil, 431, "HeaderTooLarge"},
+		{"long idempotency key", "POST", "/entries", []string{"Idempotency-Key: " + strings.Repeat("x", 300)}, 400, "IdempotencyKeyTooLong"},
+		{"token of no running call", "GET", "/entries", []string{"Quetzaldock-Call: made-up"}, 401, "UnknownCall"},
+	} {
+		a, body := x.do(c.method, c.path, c.headers...)
+		assert.Equal(t, a.StatusCode, c.status, "%s: %s", c.name, body)
+		assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), c.reason, c.name)
+		assert.Equal(t, body, "not run: "+c.reason+"\n", c.name)
+	}
+	assert.Equal(t, x.ran("self"), 0)
+	assert.Equal(t, len(x.charged), 0)
+}
+
+// Guards against a caller's time limit that is ignored, or that lets a call
+// outlive the records of its key.
+func TestHandlerBoundsTheTimeLimit(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	for i, c := range []struct {
+		header string
+		limit  time.Duration
+	}{
+		{"X-None: 1", 3 * time.Second},
+		{"Quetzaldock-Timeout-Ms: 400", 400 * time.Millisecond},
+		{"Quetzaldock-Timeout-Ms: 2147483647", 5 * time.Minute},
+	} {
+		a, body := x.do("GET", "/entries", c.header)
+		assert.Equal(t, a.StatusCode, 200, body)
+		k := x.calls["self"][i]
+		assert.Equal(t, k.Deadline.Sub(k.ArrivedAt), c.limit)
+	}
+}
+
+// Guards against nested calls that run for another account, longer or deeper
+// than the call they belong to, or that are charged again.
+func TestHandlerBindsNestedCallsToTheirCall(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	end := time.Now().Add(time.Second)
+	token, _ := x.Running.Add(call.Call{Account: "club", Depth: call.MaxDepth - 1, Deadline: end})
+	a, body := x.raw("GET /entries HTTP/1.1\r\nHost: x\r\nQuetzaldock-Call: " + token +
+		"\r\nQuetzaldock-Timeout-Ms: 60000\r\nQuetzaldock-Account: other\r\nAuthorization: Bearer stolen\r\n\r\n")
+	assert.Equal(t, a.StatusCode, 200, body)
+	k := x.calls["self"][0]
+	assert.Equal(t, k.Account, "club")
+	assert.Equal(t, k.Depth, call.MaxDepth)
+	assert.Assert(t, k.Deadline.Equal(end))
+	assert.Equal(t, len(x.charged), 0)
+
+	refused := func(want int, reason string, c call.Call, path string) {
+		t.Helper()
+		c.Deadline = end
+		token, _ := x.Running.Add(c)
+		a, body := x.raw("GET " + path + " HTTP/1.1\r\nHost: x\r\nQuetzaldock-Call: " + token + "\r\n\r\n")
+		assert.Equal(t, a.StatusCode, want, body)
+		assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), reason)
+	}
+	refused(503, "TooDeep", call.Call{Account: "club", Depth: call.MaxDepth}, "/entries")
+	refused(401, "AccountWithdrawn", call.Call{Account: "left"}, "/public")
+	refused(401, "KeyMissing", call.Call{}, "/entries")
+	x.Running.Remove(token)
+	a, _ = x.raw("GET /entries HTTP/1.1\r\nHost: x\r\nQuetzaldock-Call: " + token + "\r\n\r\n")
+	assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), "UnknownCall")
+	assert.Equal(t, x.ran("self"), 1)
+}
+
+// Guards against nested failures that the calls above retry once more: with 8
+// levels one failing service would get 3^8 times the load.
+func TestHandlerNotesFailuresOfNestedCalls(t *testing.T) {
+	x := newRig(t)
+	x.local(fails(&call.NotRun{Reason: "QueueFull"}))
+	token, e := x.Running.Add(call.Call{Account: "club", Deadline: time.Now().Add(time.Second)})
+	a, _ := x.raw("GET /entries HTTP/1.1\r\nHost: x\r\nQuetzaldock-Call: " + token + "\r\n\r\n")
+	assert.Equal(t, a.StatusCode, 503)
+	assert.Assert(t, e.HasNestedFailure())
+}
+
+// Guards against service without a configuration, behind the version floor,
+// over the rate, or with keys that may have been withdrawn.
+func TestHandlerRefusesByItsOwnState(t *testing.T) {
+	for _, c := range []struct {
+		reason string
+		status int
+		change func(h *caller.Handler)
+		open   int
+	}{
+		{"Behind", 503, func(h *caller.Handler) { h.WaitVersion = func(context.Context) bool { return false } }, 503},
+		{"Starting", 503, func(h *caller.Handler) { h.Snapshot = func() *config.Snapshot { return nil } }, 503},
+		{"KeysNotFresh", 503, func(h *caller.Handler) { h.KeyedAllowed = func() bool { return false } }, 200},
+		{"ZoneOut", 503, func(h *caller.Handler) { h.Refuse = func() string { return "ZoneOut" } }, 503},
+		{"KeyUnknown", 401, func(h *caller.Handler) {
+			s := snapshot(t, "other")
+			h.Snapshot = func() *config.Snapshot { return s }
+		}, 200},
+		{"RateExceeded", 429, func(h *caller.Handler) {
+			h.Charge = func(context.Context, string, time.Time) bool { return false }
+		}, 429},
+	} {
+		x := newRig(t)
+		x.local(ok)
+		c.change(x.Handler)
+		a, body := x.do("GET", "/entries")
+		assert.Equal(t, a.StatusCode, c.status, "%s: %s", c.reason, body)
+		assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), c.reason)
+		assert.Equal(t, x.ran("self"), 0)
+		a, body = x.do("GET", "/public")
+		assert.Equal(t, a.StatusCode, c.open, "%s, open route: %s", c.reason, body)
+	}
+}
+
+// Guards against a handler that waits for the rest of a refused body: the
+// refusal would never arrive and the connection would be held.
+func TestHandlerRefusesWithoutWaitingForTheBody(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	for _, framing := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+		a, _ := x.raw("POST /entries HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n\r\n")
+		assert.Equal(t, a.StatusCode, 401)
+	}
+	// A caller that asks first is not told to send a body that nobody reads.
+	a, body := x.raw("POST /entries HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n")
+	assert.Equal(t, a.StatusCode, 401, body)
+}
+
+// Guards against a short body that reaches a backend server in part, and
+// against a stalled body that holds its handler past the deadline.
+func TestHandlerRefusesIncompleteBodies(t *testing.T) {
+	x := newRig(t)
+	x.local(ok)
+	head := "POST /entries HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\nContent-Length: 10\r\n"
+	c := x.dial()
+	_, err := io.WriteString(c, head+"\r\nhalf")
+	assert.NilError(t, err)
+	assert.NilError(t, c.(interface{ CloseWrite() error }).CloseWrite())
+	a, body := x.read(c)
+	assert.Equal(t, a.StatusCode, 400, body)
+	assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), "BodyIncomplete")
+
+	a, body = x.raw(head + "Quetzaldock-Timeout-Ms: 100\r\n\r\nhalf")
+	assert.Equal(t, a.StatusCode, 408, body)
+	assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), "BodyLate")
+	assert.Equal(t, x.ran("self"), 0)
+
+	// A whole body is unaffected by the time limit of its predecessor.
+	c = x.dial()
+	_, err = io.WriteString(c, head+"\r\n0123456789")
+	assert.NilError(t, err)
+	a, body = x.read(c)
+	assert.Equal(t, a.StatusCode, 200, body)
+}
+
+// Guards against more calls at once than the memory of a node bears, and
+// against nested calls being refused for the calls they belong to.
+func TestHandlerBoundsCallsAtOnce(t *testing.T) {
+	x := newRig(t)
+	x.MaxCalls = 1
+	entered, leave := make(chan struct{}, 2), make(chan struct{})
+	x.local(func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+		entered <- struct{}{}
+		<-leave
+		return ok(ctx, c, r)
+	})
+	first, second := x.dial(), x.dial()
+	text := "GET /entries HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n"
+	_, _ = fmt.Fprintf(first, text, "Authorization: Bearer "+key)
+	<-entered
+	a, _ := x.do("GET", "/entries")
+	assert.Equal(t, a.StatusCode, 503)
+	assert.Equal(t, a.Header.Get("Quetzaldock-Not-Run"), "Overloaded")
+	token, _ := x.Running.Add(call.Call{Account: "club", Deadline: time.Now().Add(time.Minute)})
+	_, _ = fmt.Fprintf(second, text, "Quetzaldock-Call: "+token)
+	<-entered
+	close(leave)
+	a, _ = x.read(first)
+	assert.Equal(t, a.StatusCode, 200)
+	a, _ = x.read(second)
+	assert.Equal(t, a.StatusCode, 200)
+	a, _ = x.do("GET", "/entries")
+	assert.Equal(t, a.StatusCode, 200)
+}
--- a/internal/caller/replay.go
+++ b/internal/caller/replay.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
+	"sync"
 )
 
 // replayBytes is the largest request body that is kept for another attempt.
@@ -17,10 +20,34 @@
 	// kept is the whole body if small is set.
 	kept  []byte
 	small bool
-	// started is set with the first attempt that may read from src.
+
+	mu sync.Mutex
+	// owner is the latest body handed out that reads from src. Only it may
+	// read: an attempt that was refused may still have a goroutine that is
+	// about to send the body.
+	owner *streamed
+	// started is set once src was read.
 	started bool
 }
 
+// A streamed is a body that can be sent only once.
+type streamed struct{ b *replay }
+
+// Read implements io.Reader.
+func (s *streamed) Read(p []byte) (int, error) {
+	s.b.mu.Lock()
+	if s.b.owner != s {
+		s.b.mu.Unlock()
+		return 0, http.ErrBodyReadAfterClose
+	}
+	s.b.started = true
+	s.b.mu.Unlock()
+	return s.b.src.Read(p)
+}
+
+// Close implements io.Closer. The handler closes the body itself.
+func (s *streamed) Close() error { return nil }
+
 // newReplay reads a short body whole before the first attempt, so that a body
 // that breaks off is noticed before any backend server sees the request.
 func newReplay(r *http.Request) (*replay, error) {
@@ -32,7 +59,10 @@
 		return b, nil
 	}
 	b.kept, b.small = make([]byte, r.ContentLength), true
-	if _, err := io.ReadFull(r.Body, b.kept); err != nil {
+	switch _, err := io.ReadFull(r.Body, b.kept); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &Rejection{Status: http.StatusRequestTimeout, Reason: "BodyLate"}
+	case err != nil:
 		return nil, &Rejection{Status: http.StatusBadRequest, Reason: "BodyIncomplete"}
 	}
 	return b, nil
@@ -45,11 +75,23 @@
 		return http.NoBody
 	case b.small:
 		return io.NopCloser(bytes.NewReader(b.kept))
-	default:
-		b.started = true
-		return io.NopCloser(b.src)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.owner = &streamed{b}
+	return b.owner
 }
 
-// canRepeat reports whether another attempt could send the same body.
-func (b *replay) canRepeat() bool { return b.small || !b.started }
+// canRepeat reports whether another attempt could send the same body. A body
+// of which nothing was read can be; the former attempt then no longer can.
+func (b *replay) canRepeat() bool {
+	if b.small {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.started {
+		b.owner = nil
+	}
+	return !b.started
+}
--- /dev/null
+++ b/internal/caller/rig_test.go
@@ -0,0 +1,210 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/backend"
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/caller"
+	"quetzaldock.example/quetzaldock/internal/peercall"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// key is the client key of the account "club".
+const key = "qd_club"
+
+// A server runs calls in place of a node and its backend server.
+type server func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error)
+
+// A rig is a handler with fakes around it. The host "self" is in the handler's
+// zone and tried first; "far-1" and "far-2" are in other zones.
+type rig struct {
+	*caller.Handler
+	mu sync.Mutex
+	// calls holds what reached each host, charged the accounts charged.
+	calls   map[string][]call.Call
+	charged []string
+	seen    []caller.Observation
+	address string
+	targets []balance.Target
+	t       *testing.T
+}
+
+func snapshot(t *testing.T, accounts ...string) *config.Snapshot {
+	t.Helper()
+	p := func(v int) *int { return &v }
+	f := func(v float64) *float64 { return &v }
+	d := config.Document{
+		Defaults: &config.Values{
+			Slots: p(4), ColdSlots: p(2), ConnectionsPerSecond: p(100), QueuePerAccount: p(8), CallTimeoutMs: p(3000),
+			RetryPercent: p(20), MaxHeaderBytes: p(4096), Rate: f(100), Burst: f(20),
+		},
+		Zones:    []config.AvailabilityZone{{Name: "z0", Region: "r"}},
+		Services: []config.Service{{Name: "desk"}},
+		Hosts:    []config.Host{{ID: "self", Service: "desk", Zone: "z0"}},
+		Routes: []config.Route{
+			{Prefix: "/entries", Service: "desk"},
+			{Prefix: "/again", Service: "desk", Idempotent: true},
+			{Prefix: "/public", Service: "desk", Open: true},
+		},
+	}
+	for _, a := range accounts {
+		d.Accounts = append(d.Accounts, config.ClientAccount{Name: a, Keys: []string{config.DigestOf([]byte("qd_" + a))}})
+	}
+	m, parts, err := config.Publish(1, map[string]config.Document{"all": d})
+	assert.NilError(t, err)
+	s, err := config.Accept(m, parts)
+	assert.NilError(t, err)
+	return s
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	s := snapshot(t, "club")
+	x := &rig{t: t, calls: map[string][]call.Call{}}
+	budget, peers := balance.NewRetryBudget(), peercall.NewClient()
+	budget.Configure("desk", 20)
+	t.Cleanup(peers.Close)
+	x.Handler = &caller.Handler{
+		Snapshot: func() *config.Snapshot { return s }, WaitVersion: func(context.Context) bool { return true },
+		KeyedAllowed: func() bool { return true }, Closing: func() bool { return false }, Refuse: func() string { return "" },
+		Charge: func(_ context.Context, account string, _ time.Time) bool {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.charged = append(x.charged, account)
+			return true
+		},
+		Observe: func(o caller.Observation) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.seen = append(x.seen, o)
+		},
+		Running: backend.NewRunning(), Zone: "z0", Now: time.Now,
+		Dispatcher: &caller.Dispatcher{
+			Self: "self", Chooser: balance.New("z0"), Budget: budget, Peers: peers, Now: time.Now,
+			LocalLoad: func() peercall.Load { return peercall.Load{} },
+		},
+	}
+	l := httptest.NewServer(x.Handler)
+	t.Cleanup(l.Close)
+	x.address = l.Listener.Addr().String()
+	return x
+}
+
+// local has calls run at the handler's own host.
+func (x *rig) local(s server) {
+	x.Dispatcher.Local = func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+		x.note("self", c)
+		return s(ctx, c, r)
+	}
+	x.add("self", "z0", "")
+}
+
+// remote adds a host that runs calls behind a peercall.Server. A nil server
+// stands for a host that refuses connections.
+func (x *rig) remote(id string, s server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(x.t, err)
+	if s == nil {
+		assert.NilError(x.t, l.Close())
+	} else {
+		h := &http.Server{Handler: &peercall.Server{
+			Do: func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+				x.note(id, c)
+				return s(ctx, c, r)
+			},
+			Load: func() (int, int, int) { return 0, 4, 0 }, Version: func() uint64 { return 1 }, Now: time.Now, Started: time.Now(),
+		}}
+		go func() { _ = h.Serve(l) }()
+		x.t.Cleanup(func() { _ = h.Close() })
+	}
+	x.add(id, id, l.Addr().String())
+}
+
+// add lists a host. Its zone keeps the order of attempts the same in each run:
+// the handler's own zone comes first.
+func (x *rig) add(id, zone, address string) {
+	x.targets = append(x.targets, balance.Target{ID: id, Service: "desk", Zone: zone, CallAddress: address})
+	x.Dispatcher.Chooser.Update(x.targets)
+}
+
+func (x *rig) note(host string, c call.Call) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.calls[host] = append(x.calls[host], c)
+}
+
+func (x *rig) ran(host string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.calls[host])
+}
+
+func (x *rig) dial() net.Conn {
+	x.t.Helper()
+	c, err := net.Dial("tcp", x.address)
+	assert.NilError(x.t, err)
+	x.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// raw sends text and returns the answer with its body.
+func (x *rig) raw(text string) (*http.Response, string) {
+	x.t.Helper()
+	c := x.dial()
+	_, err := io.WriteString(c, text)
+	assert.NilError(x.t, err)
+	return x.read(c)
+}
+
+// read reads an answer. The deadline only ends a test that would hang.
+func (x *rig) read(c net.Conn) (*http.Response, string) {
+	x.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(x.t, err)
+	b, err := io.ReadAll(a.Body)
+	assert.NilError(x.t, err)
+	return a, string(b)
+}
+
+// do sends a request with the account's key and further headers.
+func (x *rig) do(method, path string, headers ...string) (*http.Response, string) {
+	x.t.Helper()
+	h := append([]string{"Authorization: Bearer " + key}, headers...)
+	return x.raw(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: mesh\r\n%s\r\n\r\n", method, path, strings.Join(h, "\r\n")))
+}
+
+func ok(_ context.Context, _ call.Call, r *http.Request) (*http.Response, error) {
+	if r.Body != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return nil, &call.Unknown{Reason: "body", Cause: err}
+		}
+	}
+	return answer(http.StatusOK), nil
+}
+
+func answer(status int) *http.Response {
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("done")), ContentLength: 4}
+}
+
+func fails(err error) server {
+	return func(context.Context, call.Call, *http.Request) (*http.Response, error) { return nil, err }
+}
+
+func answers(status int) server {
+	return func(context.Context, call.Call, *http.Request) (*http.Response, error) { return answer(status), nil }
+}
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -10,7 +10,8 @@
 
 import "github.com/joomcode/errorx"
 
-var namespace = errorx.NewNamespace("http1")
+// Failures are part of normal work in a mesh, so they carry no stack trace.
+var namespace = errorx.NewNamespace("http1").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 var (
 	// NotSent means that no byte of the request left this process.
@@ -23,6 +24,9 @@
 	Interrupted = namespace.NewType("interrupted")
 	// Reset is an Interrupted failure: the peer closed or reset the connection.
 	Reset = Interrupted.NewSubtype("reset")
+	// Malformed is an Interrupted failure: the peer sent what is no answer to
+	// a request of this package, or a header beyond maxHeaderBytes.
+	Malformed = Interrupted.NewSubtype("malformed")
 	// Expired means that the deadline passed or the caller went away after the
 	// first byte may have left.
 	Expired = namespace.NewType("expired")
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Do sends r once and returns the header of the answer. The answer's body
@@ -89,12 +91,21 @@
 	if !x.hadBody && x.sendErr != nil {
 		return nil, x.sendErr
 	}
+	x.c.in.limited, x.c.in.left = true, maxHeaderBytes
+	defer func() { x.c.in.limited = false }()
 	for {
 		a, err := http.ReadResponse(x.c.r, r)
+		if err != nil && x.c.in.left <= 0 {
+			return nil, Malformed.Wrap(err, "the header of the answer exceeds %d bytes", maxHeaderBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
-		if a.StatusCode >= 200 || a.StatusCode == http.StatusSwitchingProtocols {
+		if a.StatusCode == http.StatusSwitchingProtocols {
+			// Upgrades are never asked for. What follows would not be HTTP.
+			return nil, Malformed.New("the peer switches protocols unasked")
+		}
+		if a.StatusCode >= 200 {
 			return a, nil
 		}
 	}
@@ -108,6 +119,8 @@
 		return NotSent.Wrap(err, "request not sent")
 	case ctx.Err() != nil:
 		return Expired.Wrap(err, "no answer in time")
+	case errorx.IsOfType(err, Malformed):
+		return err
 	case isReset(err):
 		return Reset.Wrap(err, "connection closed by peer")
 	default:
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -16,6 +16,10 @@
 const (
 	// bufferBytes is the size of a connection's read and write buffers.
 	bufferBytes = 4 << 10
+	// maxHeaderBytes bounds the headers of one answer, interim answers
+	// included. net/http sets no bound when it reads answers, so a broken
+	// peer could fill the memory with one header.
+	maxHeaderBytes = 128 << 10
 	// dialTimeout bounds one connection attempt including its handshake.
 	dialTimeout = 2 * time.Second
 	// probeAge is how long after its last answer a connection is trusted.
@@ -53,6 +57,7 @@
 type conn struct {
 	net.Conn
 	r          *bufio.Reader
+	in         limitedReader
 	w          *bufio.Writer
 	sent       countingWriter
 	generation int
@@ -73,6 +78,26 @@
 	return w.c.Write(b)
 }
 
+// A limitedReader fails once left bytes were read while limited is set.
+type limitedReader struct {
+	c       net.Conn
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(b []byte) (int, error) {
+	if !r.limited {
+		return r.c.Read(b)
+	}
+	if r.left <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := r.c.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // New returns a pool that dials addr over TCP without TLS.
 func New(addr string) *Pool {
 	return &Pool{
@@ -168,7 +193,8 @@
 	p.open.Add(1)
 	c := &conn{Conn: n, generation: g}
 	c.sent.c = n
-	c.r = bufio.NewReaderSize(n, bufferBytes)
+	c.in.c = n
+	c.r = bufio.NewReaderSize(&c.in, bufferBytes)
 	c.w = bufio.NewWriterSize(&c.sent, bufferBytes)
 	return c, nil
 }
--- a/internal/peercall/answer.go
+++ b/internal/peercall/answer.go
@@ -1,6 +1,8 @@
 package peercall
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,10 +15,15 @@
 )
 
 // failure says what a failed exchange with another node means for the call.
-func failure(err error) error {
+func failure(ctx context.Context, err error) error {
 	switch {
 	case errorx.IsOfType(err, http1.NotSent):
+		if n := call.Ended(ctx); n != nil {
+			return n
+		}
 		return &call.NotRun{Reason: "Unreachable"}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &call.Unknown{Reason: "no answer in time", Cause: ctx.Err()}
 	case errorx.IsOfType(err, http1.Expired):
 		return &call.Unknown{Reason: "no answer in time", Cause: err}
 	default:
@@ -27,6 +34,12 @@
 // answer turns the other node's refusals into errors. Only a node sets these
 // headers: it removes them from what its backend server sends.
 func answer(a *http.Response) (*http.Response, error) {
+	if a.Header.Get(call.HeaderVersion) == "" {
+		// A node states its version in each answer. This one was made before
+		// a node's handler ran, or by something else.
+		drain(a)
+		return nil, &call.Unknown{Reason: "status " + strconv.Itoa(a.StatusCode) + " is not the answer of a node"}
+	}
 	final := a.Header.Get(call.HeaderRetry) == "no"
 	if reason := a.Header.Get(call.HeaderNotRun); reason != "" {
 		drain(a)
@@ -42,7 +55,11 @@
 		return nil, &call.Repeat{Status: n}
 	case "unknown":
 		drain(a)
-		return nil, &call.Unknown{Reason: "the host got no answer from its backend server", Deeper: final}
+		u := &call.Unknown{Reason: "the host got no answer from its backend server", Deeper: final}
+		if a.StatusCode == http.StatusGatewayTimeout {
+			u.Cause = context.DeadlineExceeded
+		}
+		return nil, u
 	}
 	call.StripHop(a.Header)
 	call.StripInternal(a.Header)
--- a/internal/peercall/client.go
+++ b/internal/peercall/client.go
@@ -81,7 +81,7 @@
 	}
 	a, err := send(ctx, q)
 	if err != nil {
-		return nil, Load{}, failure(err)
+		return nil, Load{}, failure(ctx, err)
 	}
 	l := parseLoad(a.Header.Get(call.HeaderLoad))
 	if v, e := strconv.ParseUint(a.Header.Get(call.HeaderVersion), 10, 64); e == nil {
--- a/internal/peercall/server.go
+++ b/internal/peercall/server.go
@@ -47,18 +47,36 @@
 // a thousand nodes, each with a new identity after a restart.
 const maxSenders = 8192
 
+const (
+	// maxBudget is longer than any time limit that a node accepts from a
+	// caller. Far larger numbers would overflow a duration.
+	maxBudget = time.Hour
+	// maxClock bounds a sender's clock, which counts from its start.
+	maxClock = 100 * 365 * 24 * time.Hour
+	// maxSenderBytes is the longest identity of a sender that is remembered.
+	maxSenderBytes = 64
+	// writeGrace is how long after its deadline a call's answer may take to be
+	// written.
+	writeGrace = time.Second
+)
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b := call.NewBody(w, r)
+	defer b.Release()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	if s.Authorized != nil && !s.Authorized(r) {
-		http.Error(w, "not a node of this mesh", http.StatusForbidden)
+		s.refuse(w, "NotANode", "not a node of this mesh", http.StatusForbidden)
 		return
 	}
 	c, err := s.parse(r)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		s.refuse(w, "BadHeader", err.Error(), http.StatusBadRequest)
 		return
 	}
-	defer call.NewBody(w, r).Release()
+	// A sender that stops reading, as a paused or cut off process does, must
+	// not hold a slot past the deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(writeGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	a, err := s.Do(ctx, c, r)
@@ -71,11 +89,20 @@
 	CopyAnswer(w, a)
 }
 
+// refuse answers a request that is no call of a node. It is marked as not
+// run, or the sender would take it for an answer of the backend server.
+func (s *Server) refuse(w http.ResponseWriter, reason, text string, status int) {
+	s.setLoad(w.Header())
+	w.Header().Set(call.HeaderNotRun, reason)
+	w.Header().Set(call.HeaderRetry, "no")
+	http.Error(w, text, status)
+}
+
 // parse reads the call's description from the headers of the mesh.
 func (s *Server) parse(r *http.Request) (call.Call, error) {
 	h, now := r.Header, s.Now()
 	budget, err := strconv.ParseInt(h.Get(call.HeaderBudget), 10, 64)
-	if err != nil || budget < 0 {
+	if err != nil || budget < 0 || budget > maxBudget.Microseconds() {
 		return call.Call{}, &BadHeader{Name: call.HeaderBudget}
 	}
 	depth, err := strconv.Atoi(h.Get(call.HeaderDepth))
@@ -103,7 +130,7 @@
 func (s *Server) late(v string, now time.Time) (time.Duration, error) {
 	sender, us, ok := strings.Cut(v, "-")
 	n, err := strconv.ParseInt(us, 10, 64)
-	if !ok || err != nil {
+	if !ok || err != nil || len(sender) > maxSenderBytes || n < 0 || n > maxClock.Microseconds() {
 		return 0, &BadHeader{Name: call.HeaderSent}
 	}
 	s.mu.Lock()
