--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"quetzaldock.example/quetzaldock/internal/distribution"
@@ -24,6 +25,9 @@
 	"quetzaldock.example/quetzaldock/pkg/spread"
 )
 
+// Guards against duties that outlive Run.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // A source is a small configuration service.
 type source struct {
 	mu       sync.Mutex
