quota: let leaders keep quota for accounts that come in everywhere

Cause: with 1,100 hosts and an account that comes in at all of them, every request that found no token went to the root.

Change: a leader keeps rate and capacity for its members' usual demand while that is under a quarter of the account's rate.

--- a/pkg/quota/broker.go
+++ b/pkg/quota/broker.go
@@ -21,6 +21,10 @@
 	// nil if unknown. Members that restarted learn from it.
 	Age func() (version uint64, age time.Duration)
 
+	// Limits returns an account's rate and burst over all hosts; nil if
+	// unknown. With it, a broker keeps quota that its members often ask for.
+	Limits func(account string) (rate, burst float64)
+
 	mu    sync.Mutex
 	clock clock
 	books map[string]*pool
@@ -39,8 +43,10 @@
 type pool struct {
 	book  *book
 	wants map[string]want // by member
-	retry time.Duration   // when the parent is worth asking again
-	back  time.Duration
+	// target is what the pool keeps for demands that are likely to come.
+	target volume
+	retry  time.Duration // when the parent is worth asking again
+	back   time.Duration
 }
 
 // A want is what a member asked for last.
@@ -245,7 +251,7 @@
 	now := b.instant()
 	for _, p := range b.books {
 		p.book.advance(now)
-		if p.book.v.r >= surplusRate || p.book.k >= float64(One)/2 {
+		if p.book.v.r >= 2*p.target.r+surplusRate || p.book.k >= float64(p.target.c+One/2) {
 			return true
 		}
 	}
@@ -335,7 +341,17 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.books)) {
 		o := Offer{Account: name}
-		b.books[name].offer(x, &o, now)
+		p := b.books[name]
+		if b.Limits != nil {
+			rate, burst := b.Limits(name)
+			p.target = volume{}
+			// Traffic that comes in at few places may move on at any moment,
+			// and the root serves it with few messages.
+			if use := p.book.use.sample(now); use < rate/4 {
+				p.target = targetOf(rate, burst, use, 0.5, 4)
+			}
+		}
+		p.offer(x, &o, now)
 		r.Entries = append(r.Entries, o)
 	}
 	return r
@@ -346,7 +362,7 @@
 func (p *pool) offer(x *uplink, o *Offer, now time.Duration) {
 	b := p.book
 	b.advance(now)
-	var target volume
+	target := p.target
 	var tokens Amount
 	for party, w := range p.wants {
 		if now-w.at > wantAge {
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -177,22 +177,26 @@
 	}
 }
 
-// target is the volume a node keeps for an account that uses rate tokens per
-// second there. Where half of the proportional share of the burst is under
-// one token, the node keeps nothing and borrows whole tokens as requests
-// come; the other half of the burst stays with the brokers for that.
+// target is the volume a node keeps for an account of which it uses rate
+// tokens per second. Three quarters of the burst stay with the brokers, for
+// requests that come in elsewhere.
 func (a *account) target(rate float64) volume {
-	if a.rate <= 0 || rate <= 0 {
+	return targetOf(a.rate, a.burst, rate, 0.25, 8)
+}
+
+// targetOf returns the volume to keep for a use, where part of the burst may
+// be kept away from the root. A small bucket spills much of a rate close to
+// its use, so part of the use is fetched as tokens, and all of it where the
+// bucket would hold less than least tokens.
+func targetOf(rate, burst, use, part, least float64) volume {
+	if rate <= 0 || use <= 0 {
 		return volume{}
 	}
-	c := a.burst * min(rate/a.rate, 1) / 4
-	if c < 8 {
+	c := burst * min(use/rate, 1) * part
+	if c < least {
 		return volume{}
 	}
-	// A small bucket spills much of a rate close to its use. The rest of the
-	// use is fetched as tokens.
-	r := min(rate, a.rate*0.9) * max(1-2/c, 0)
-	return volume{Units(r), Units(c)}
+	return volume{Units(min(use, rate*0.9) * max(1-2/c, 0)), Units(c)}
 }
 
 // Tick brings shares and estimates up to date and reports whether the node
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -132,6 +132,9 @@
 		if r.Broker.Age == nil {
 			r.Broker.Age = r.age
 		}
+		if r.Broker.Limits == nil {
+			r.Broker.Limits = r.limits
+		}
 	})
 }
 
@@ -145,6 +148,15 @@
 	return r.snapshot.Version, r.Ledger.Now().Sub(r.accepted)
 }
 
+func (r *Runner) limits(account string) (rate, burst float64) {
+	s := r.Snapshot()
+	if s == nil || s.Accounts[account] == nil {
+		return 0, 0
+	}
+	e := s.Effective("", "", account)
+	return e.Rate, e.Burst
+}
+
 // Run exchanges reports until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	r.Init()
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -209,6 +209,13 @@
 		}
 		return n.active.Version, now().Sub(n.clock(n.accepted))
 	}}
+	n.broker.Limits = func(account string) (float64, float64) {
+		if n.active == nil || n.active.Accounts[account] == nil {
+			return 0, 0
+		}
+		e := n.active.Effective("", "", account)
+		return e.Rate, e.Burst
+	}
 	n.member, n.leader, n.held, n.waiters = side{}, side{}, nil, nil
 	n.snap, n.active, n.confirmed = nil, nil, -time.Hour
 	n.ledger.Start()
