Show what the node knows, keep limits of pages and code the same

Cause: status showed a confirmation age of 0 for every node and a floor of 0, since both came from a message that leaves them out; metric labels merged accounts such as club-a and club.a; a configuration could set a call timeout of 10 minutes that the caller side cut to 5, and headers of 1 MiB that net/http cut at 64 KiB; the default of StopMs was shorter than the longest deadline, so a planned stop could cut a call; each change was logged twice. Change: status reads floor and age from the replica, labels keep printable characters, the ranges agree, StopMs is 310 s by default, log levels are read in any case, one line for each change. Conclusion: pages and code agree on these points.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,8 +46,10 @@
 	// kept. It exceeds the time after which an idle gate turns cold, since
 	// closed idle connections are evidence of a restart.
 	backendIdle = time.Minute
-	// maxHeaderBytes bounds the header of any request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of any request. It is above the largest
+	// MaxHeaderBytes of a configuration, whose refusal says that the request did
+	// not run.
+	maxHeaderBytes = 96 << 10
 )
 
 // A Node is one process beside a backend server. Its exported fields are set
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"net/url"
 	"os"
@@ -124,8 +125,9 @@
 	return s, nil
 }
 
-// defaultStopMs is the default of StopMs: longer than any deadline of a call.
-const defaultStopMs = 30_000
+// defaultStopMs is the default of StopMs, 10 s more than the longest deadline
+// of a call.
+const defaultStopMs = 310_000
 
 // Check returns every fault of the settings.
 func (s *Settings) Check() Faults {
@@ -133,9 +135,7 @@
 	f = append(f, s.checkNames()...)
 	f = append(f, s.checkAddresses()...)
 	f = append(f, s.checkTLS()...)
-	switch s.LogLevel {
-	case "Debug", "Info", "Warn", "Error":
-	default:
+	if err := new(slog.LevelVar).UnmarshalText([]byte(s.LogLevel)); err != nil {
 		f = append(f, Fault{"LogLevel", "must be Debug, Info, Warn or Error"})
 	}
 	if s.StopMs <= 0 || s.StopMs > 600_000 {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -27,7 +27,7 @@
 	s, err := node.ParseSettings([]byte(goodSettings))
 	assert.NilError(t, err)
 	assert.Equal(t, s.LogLevel, "Info")
-	assert.Equal(t, s.StopMs, 30000)
+	assert.Equal(t, s.StopMs, 310000)
 }
 
 // Guards against a fault being reported only after another one was mended.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -19,8 +19,8 @@
 		},
 	}
 	r := n.distributor.Replica
-	m := r.Summary()
-	s.Floor, s.ConfirmedAgeMs, s.HostsRevision, s.Refusals = m.Floor, m.ConfirmedAgeMs, m.HostsRevision, m.Refused
+	m := r.Reply().Summary
+	s.Floor, s.ConfirmedAgeMs, s.HostsRevision, s.Refusals = r.Floor(), m.ConfirmedAgeMs, m.HostsRevision, m.Refused
 	s.KeyedAllowed = r.KeyedAllowed(r.Now())
 	n.gateStatus(&s)
 	v := n.view.Load()
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -60,7 +60,6 @@
 	}
 	if old == nil || old.snapshot != s {
 		n.configureQuota(s)
-		n.Log.Info("configuration in force", "host", n.Settings.Host, "version", s.Version)
 	}
 }
 
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	client "github.com/prometheus/client_golang/prometheus"
@@ -56,11 +57,19 @@
 	r := prometheus.NewReporter(prometheus.Options{Registerer: g, Gatherer: g, OnRegisterError: func(error) {}})
 	s, c := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "quetzaldock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: sanitizer(), OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{scope: s, closer: c.Close, reporter: r, series: map[seriesKey]*series{}}
 }
 
+// sanitizer keeps the values of labels as they are: accounts and routes may
+// differ in any printable character.
+func sanitizer() *tally.SanitizeOptions {
+	o := prometheus.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}, {0xA0, utf8.MaxRune}}}
+	return &o
+}
+
 // Close stops the reporter.
 func (m *Metrics) Close() error { return m.closer() }
 
--- a/pkg/config/faults_test.go
+++ b/pkg/config/faults_test.go
@@ -61,7 +61,7 @@
 		{`fleet: Defaults.Rate: +Inf is not between 0.001 and 10000000`, func(f, _, _ *doc) { f.Defaults.Rate = ptr(math.Inf(1)) }},
 		{`fleet: Defaults.Burst: -1 is not between 1 and 10000000`, func(f, _, _ *doc) { f.Defaults.Burst = ptr(-1.0) }},
 		{`fleet: Defaults.RetryPercent: 101 is not between 0 and 100`, func(f, _, _ *doc) { f.Defaults.RetryPercent = ptr(101) }},
-		{`fleet: Defaults.CallTimeoutMs: 0 is not between 1 and 600000`, func(f, _, _ *doc) { f.Defaults.CallTimeoutMs = ptr(0) }},
+		{`fleet: Defaults.CallTimeoutMs: 0 is not between 1 and 300000`, func(f, _, _ *doc) { f.Defaults.CallTimeoutMs = ptr(0) }},
 		{`fleet: Defaults.ColdSlots: 13 exceeds Slots, 12`, func(f, _, _ *doc) { f.Defaults.ColdSlots = ptr(13) }},
 		{`fleet: Hosts["desk-1"].Service: there is no service "desks"`, func(f, _, _ *doc) { f.Hosts[0].Service = "desks" }},
 		{`fleet: Hosts["desk-1"].Zone: there is no zone "Ate"`, func(f, _, _ *doc) { f.Hosts[0].Zone = "Ate" }},
--- a/pkg/config/values.go
+++ b/pkg/config/values.go
@@ -30,9 +30,9 @@
 	{"ColdSlots", hostScope, 1, 100_000, func(v *Values) (float64, bool) { return whole(v.ColdSlots) }},
 	{"ConnectionsPerSecond", hostScope, 1, 100_000, func(v *Values) (float64, bool) { return whole(v.ConnectionsPerSecond) }},
 	{"QueuePerAccount", anyScope, 0, 100_000, func(v *Values) (float64, bool) { return whole(v.QueuePerAccount) }},
-	{"CallTimeoutMs", anyScope, 1, 600_000, func(v *Values) (float64, bool) { return whole(v.CallTimeoutMs) }},
+	{"CallTimeoutMs", anyScope, 1, 300_000, func(v *Values) (float64, bool) { return whole(v.CallTimeoutMs) }},
 	{"RetryPercent", anyScope, 0, 100, func(v *Values) (float64, bool) { return whole(v.RetryPercent) }},
-	{"MaxHeaderBytes", hostScope, 1024, 1 << 20, func(v *Values) (float64, bool) { return whole(v.MaxHeaderBytes) }},
+	{"MaxHeaderBytes", hostScope, 1024, 64 << 10, func(v *Values) (float64, bool) { return whole(v.MaxHeaderBytes) }},
 	{"Rate", accountScope, 0.001, 1e7, func(v *Values) (float64, bool) { return fraction(v.Rate) }},
 	{"Burst", accountScope, 1, 1e7, func(v *Values) (float64, bool) { return fraction(v.Burst) }},
 }
