Show refused versions with their reasons in the status

Cause: refusals.md sends operators to quetzaldock status for refused versions, which showed their number only. Change: spread.Replica keeps the latest eight refusals; the status lists them. Conclusion: a bad version is visible where operators look.

--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -22,6 +22,9 @@
 	m := r.Reply().Summary
 	s.Floor, s.ConfirmedAgeMs, s.HostsRevision, s.Refusals = r.Floor(), m.ConfirmedAgeMs, m.HostsRevision, m.Refused
 	s.KeyedAllowed = r.KeyedAllowed(r.Now())
+	for _, f := range r.Refusals() {
+		s.Refused = append(s.Refused, operator.RefusedVersion{Version: f.Version, Digest: f.Digest, Reason: f.Reason})
+	}
 	n.gateStatus(&s)
 	v := n.view.Load()
 	if v == nil {
--- a/pkg/spread/accept.go
+++ b/pkg/spread/accept.go
@@ -69,15 +69,41 @@
 	r.targets = slices.DeleteFunc(r.targets, func(t *target) bool { return t.digest == digest })
 	if remember(r.refused, digest) {
 		r.refusals++
+		r.note(Refusal{Version: v, Digest: digest, Reason: err.Error()})
 		a.event(Refused, v, digest, "", err)
 	}
 }
 
+// A Refusal is a version that was not accepted.
+type Refusal struct {
+	Version uint64
+	Digest  string
+	Reason  string
+}
+
+// shownRefusals is the number of refusals kept for operators.
+const shownRefusals = 8
+
+func (r *Replica) note(f Refusal) {
+	r.lastRefusals = append(r.lastRefusals, f)
+	if n := len(r.lastRefusals); n > shownRefusals {
+		r.lastRefusals = slices.Clone(r.lastRefusals[n-shownRefusals:])
+	}
+}
+
+// Refusals returns the latest refused versions, the newest last.
+func (r *Replica) Refusals() []Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.lastRefusals)
+}
+
 // conflict reports once that the held version's number came with another
 // digest. The digest accepted first stays in force.
 func (r *Replica) conflict(v uint64, digest, host string, a *Action) {
 	if remember(r.conflicts, digest) {
 		r.refusals++
+		r.note(Refusal{Version: v, Digest: digest, Reason: "another digest of the same version was accepted first"})
 		a.event(Conflict, v, digest, host, nil)
 	}
 }
--- a/pkg/spread/replica.go
+++ b/pkg/spread/replica.go
@@ -77,12 +77,13 @@
 	reach          map[string]time.Time
 	keyedStopped   bool
 
-	targets     []*target
-	hostsTarget hostsTarget
-	refused     map[string]bool // digests of invalid versions
-	conflicts   map[string]bool // digests of conflicting versions
-	refusals    uint64
-	staleSeen   string // digest of the last stale answer of the source
+	targets      []*target
+	hostsTarget  hostsTarget
+	refused      map[string]bool // digests of invalid versions
+	conflicts    map[string]bool // digests of conflicting versions
+	refusals     uint64
+	lastRefusals []Refusal // the newest last
+	staleSeen    string    // digest of the last stale answer of the source
 
 	hostsBytes []byte
 	topology   topology
