--- a/pkg/quota/faults_test.go
+++ b/pkg/quota/faults_test.go
@@ -196,12 +196,60 @@
 }
 
 // Guards against a test that admits nothing and so proves nothing.
-func TestCourseAdmitsUnderFaults(t *testing.T) {
-	c := course{
-		seed: 3, hosts: 6, zones: 2, seconds: 60, loss: 0.05, twice: 0.05, late: 0.02, drift: 0.01, faults: 0.2, publish: 0.05,
-		accounts: map[string]limit{"small": {5, 5}, "large": {60, 40}}, load: 1.5,
+func TestCoursesAdmitUnderFaults(t *testing.T) {
+	admitted := 0
+	for seed := range uint64(8) {
+		c := course{
+			seed: seed + 1, hosts: 6, zones: 2, seconds: 60, loss: 0.05, twice: 0.05, late: 0.02, drift: 0.01, faults: 0.2, publish: 0.05,
+			accounts: map[string]limit{"small": {5, 5}, "large": {60, 40}}, load: 1.5,
+		}
+		s := c.run()
+		assert.Equal(t, len(s.faults), 0, "%v", s.faults)
+		admitted += s.admitted()
+	}
+	assert.Assert(t, admitted > 5000, "admitted %d", admitted)
+}
+
+// Guards against a share that is used while a host that was removed still
+// spends its own: a node that was cut off may have missed the version that
+// gave the share away, so neither the old nor the new version allows it the
+// share at once.
+func TestShareWaitsAfterMissedVersions(t *testing.T) {
+	s := newSim(1, hostIDs(2), 1, map[string]limit{"a": {20, 20}})
+	a, b := s.nodes[0], s.nodes[1]
+	s.current = snapshot(1, hostIDs(2)[:1], s.limits)
+	for t := time.Duration(0); t < 60*time.Second; t += 20 * time.Millisecond {
+		s.at(t, s.checkSums)
 	}
-	s := c.run()
+	s.run(20 * time.Second)
+	a.isolated = true
+	s.run(21 * time.Second)
+	s.publish(hostIDs(2), s.limits)
+	s.run(39900 * time.Millisecond)
+	b.isolated = true
+	s.publish(hostIDs(2)[:1], s.limits)
+	a.isolated = false
+	s.run(60 * time.Second)
 	assert.Equal(t, len(s.faults), 0, "%v", s.faults)
-	assert.Assert(t, s.admitted() > 500, "admitted %d", s.admitted())
+	assert.Equal(t, a.ledger.share.divisor(a.ledger.instant()), 1)
+}
+
+// Guards against a share that is used before the loans of the host's earlier
+// process ended, and against one that stays unused afterwards.
+func TestRestartedNodeWaits(t *testing.T) {
+	s := newSim(1, hostIDs(3), 1, map[string]limit{"a": {20, 20}})
+	s.run(20 * time.Second)
+	n := s.nodes[1]
+	n.stop()
+	n.start()
+	from := s.now
+	owns := func() bool {
+		x := n.ledger.all()["a"]
+		return x != nil && !x.book.own.isZero()
+	}
+	s.run(from + Term + Margin - time.Millisecond)
+	assert.Assert(t, !owns())
+	// The other nodes' version age tells that the version is in force.
+	s.run(from + Term + Margin + time.Second)
+	assert.Assert(t, owns())
 }
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -222,6 +222,14 @@
 // of turn.
 const renewAhead = 300 * time.Millisecond
 
+// pressing reports whether a report should name the account out of turn.
+func (a *account) pressing(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.book.advance(now)
+	return (len(a.queue) > 0 || a.missed > 0) && now >= a.retryAt || a.uneven(now)
+}
+
 // uneven reports whether the account's quota here is so far from its use that
 // a report should not wait for its turn.
 func (a *account) uneven(now time.Duration) bool {
@@ -256,8 +264,11 @@
 	if !x.usable(now) {
 		return r, true
 	}
-	all := l.all()
+	all, full := l.all(), x.complete(now)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if !full && !all[name].pressing(now) {
+			continue
+		}
 		o := Offer{Account: name}
 		all[name].offer(x, &o, now)
 		r.Entries = append(r.Entries, o)
@@ -271,7 +282,7 @@
 	}
 	x := l.links[parent]
 	if x == nil {
-		x = &uplink{parent: parent, owner: true}
+		x = &uplink{parent: parent, owner: true, full: -fullGap}
 		l.links[parent] = x
 	}
 	return x
--- a/pkg/quota/measure_test.go
+++ b/pkg/quota/measure_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // traffic starts a stream of requests: Poisson arrivals at rate, or evenly
@@ -69,6 +72,7 @@
 		s.delay = func(_, _ *node) time.Duration { return delay }
 		s.run(20 * time.Second)
 		s.stats["a"] = &tally{}
+		s.split()
 		begin := s.now
 		seconds := max(60, min(600, 40000/l.rate))
 		end := s.now + time.Duration(seconds*float64(time.Second))
@@ -96,7 +100,7 @@
 			most = max(most, b)
 		}
 		d := (s.now - begin).Seconds()
-		row += fmt.Sprintf(" | %7.1f wrongful (net %7.1f) of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered), 1e5*float64(x.refused-x.ideal)/float64(x.offered),
+		row += fmt.Sprintf(" | %7.1f wrongful (net %7.1f, split %7.0f) of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered), 1e5*float64(x.refused-x.ideal)/float64(x.offered), 1e5*float64(x.fixed)/float64(x.offered),
 			x.offered, float64(sum)/d/float64(hostCount), float64(most)/d, float64(msgs)/d/float64(hostCount))
 		if len(s.faults) > 0 {
 			t.Errorf("%d faults, first: %s", len(s.faults), s.faults[0])
@@ -121,3 +125,132 @@
 		})
 	}
 }
+
+// split gives every node a fixed split to compare with.
+func (s *sim) split() {
+	for _, n := range s.nodes {
+		n.fixed = &FixedSplit{Now: func() time.Time { return n.clock(s.now) }}
+		for name, l := range s.limits {
+			n.fixed.Configure(name, l.rate, l.burst, len(s.nodes))
+		}
+	}
+}
+
+// eight are eight accounts, two of them large.
+func eight() map[string]limit {
+	accounts := map[string]limit{}
+	for i := range 6 {
+		accounts[fmt.Sprintf("small-%d", i)] = limit{20, 20}
+	}
+	accounts["large-0"], accounts["large-1"] = limit{400, 200}, limit{200, 100}
+	return accounts
+}
+
+// Guards against an account at five times its rate that costs others their
+// requests: each of the others stays under 1 wrongful refusal in 1,000.
+func TestAccountOverItsRateLeavesOthersTheirs(t *testing.T) {
+	s := newSim(5, hostIDs(13), 4, eight())
+	s.delay = func(_, _ *node) time.Duration { return time.Millisecond }
+	s.run(20 * time.Second)
+	end := s.now + 60*time.Second
+	pick := func() *node { return s.nodes[s.rng.IntN(len(s.nodes))] }
+	for _, name := range slices.Sorted(mapsKeys(s.limits)) {
+		s.stats[name] = &tally{}
+		load := 0.9
+		if name == "large-1" {
+			load = 5
+		}
+		s.traffic(name, s.limits[name].rate*load, s.now, end, true, pick)
+	}
+	s.measure = true
+	s.run(end + time.Second)
+	assert.Equal(t, len(s.faults), 0, "%v", s.faults)
+	for name, x := range s.stats {
+		if name == "large-1" {
+			most := s.limits[name].rate * 61
+			assert.Assert(t, float64(x.admitted) > 0.95*most*60/61, "admitted %d of %g", x.admitted, most)
+			continue
+		}
+		assert.Assert(t, 1000*x.wrongful <= x.offered, "%s: %+v", name, *x)
+	}
+	logTraffic(t, s, 61)
+}
+
+// logTraffic logs control traffic per node.
+func logTraffic(t *testing.T, s *sim, seconds float64) {
+	var sum, most, msgs, mostMsgs int
+	for id, b := range s.bytes {
+		sum += b
+		most = max(most, b)
+		msgs += s.messages[id]
+		mostMsgs = max(mostMsgs, s.messages[id])
+	}
+	n := float64(len(s.nodes)) * seconds
+	t.Logf("per node and second: %.0f bytes and %.1f messages, at most %.0f and %.1f", float64(sum)/n, float64(msgs)/n, float64(most)/seconds, float64(mostMsgs)/seconds)
+	for name, x := range s.stats {
+		t.Logf("%s %+v", name, *x)
+	}
+}
+
+// Guards against quota that stays lost after the root's process restarts: its
+// loans end after Term, and from then on nothing is refused wrongfully.
+func TestQuotaReturnsAfterRootRestarts(t *testing.T) {
+	s := newSim(5, hostIDs(13), 4, map[string]limit{"a": {200, 100}})
+	s.run(20 * time.Second)
+	root := s.byID[s.nodes[0].placement.Root.ID]
+	from := s.nodes[3]
+	assert.Assert(t, from != root)
+	s.traffic("a", 180, s.now, s.now+40*time.Second, true, func() *node { return from })
+	s.run(s.now + 10*time.Second)
+	root.stop()
+	s.run(s.now + 200*time.Millisecond)
+	root.start()
+	for second := range 20 {
+		s.stats["a"] = &tally{}
+		s.run(s.now + time.Second)
+		t.Logf("second %d: %+v", second, *s.stats["a"])
+		if second >= 8 {
+			assert.Equal(t, s.stats["a"].wrongful, 0, "second %d", second)
+		}
+	}
+	assert.Equal(t, len(s.faults), 0, "%v", s.faults)
+}
+
+// BenchmarkTake measures a Take that finds a token, from all cores at once.
+func BenchmarkTake(b *testing.B) {
+	l := &Ledger{Now: time.Now}
+	s := snapshot(1, hostIDs(1), map[string]limit{"a": {1e7, 1e7}})
+	l.Start()
+	l.Configure(s, "h-0000")
+	for _, a := range l.all() {
+		a.book.setOwn(volume{MaxAmount, MaxAmount}, l.instant())
+	}
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			l.Take("a")
+		}
+	})
+}
+
+// BenchmarkBrokerHandle measures one report of eight accounts at a broker
+// with 76 members, as the root has at 1,100 hosts.
+func BenchmarkBrokerHandle(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	br := &Broker{Now: func() time.Time { return now }}
+	var ledgers []*Ledger
+	s := snapshot(1, hostIDs(76), eight())
+	for i := range 76 {
+		l := &Ledger{Now: func() time.Time { return now }, Boot: uint64(i + 1)}
+		l.Start()
+		l.Configure(s, hostIDs(76)[i])
+		ledgers = append(ledgers, l)
+	}
+	now = now.Add(20 * time.Second)
+	for i := 0; b.Loop(); i++ {
+		l := ledgers[i%76]
+		now = now.Add(10 * time.Millisecond)
+		r, _ := l.Report("p")
+		reply, _ := br.Handle(hostIDs(76)[i%76], r)
+		l.Settle("p", reply)
+	}
+}
--- /dev/null
+++ b/pkg/quota/message_test.go
@@ -0,0 +1,96 @@
+package quota
+
+import (
+	"math"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func sampleReport() Report {
+	return Report{
+		Boot: 7, Seq: 9, Base: Base{Boot: 3, AtUs: 12345678},
+		Entries: []Offer{{
+			Account: "club-a", Deposit: []Level{{TermMs: 1000, Rate: One, Capacity: 2 * One}, {TermMs: 2900, Rate: One / 2, Capacity: One}},
+			RecallRate: 1, HeldCapacity: 3, WantRate: 4, Tokens: 5, WantTokens: One,
+		}},
+	}
+}
+
+// Guards against a message that changes on its way.
+func TestMessagesKeepTheirContent(t *testing.T) {
+	r := sampleReport()
+	b, err := r.Encode()
+	assert.NilError(t, err)
+	got, err := DecodeReport(b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, r)
+	reply := Reply{Seq: 9, Base: Base{Boot: 3, AtUs: 4}, Version: 5, VersionAgeMs: 6, Entries: []Grant{{Account: "a", KeptRate: 1, Loan: []Level{{TermMs: 5, Rate: 1, Capacity: 1}}, Tokens: 2, RetryMs: 3}}}
+	b, err = reply.Encode()
+	assert.NilError(t, err)
+	back, err := DecodeReply(b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, reply)
+}
+
+// Guards against amounts and terms that would create quota.
+func TestDecodeRefusesBadReports(t *testing.T) {
+	for name, c := range map[string]struct {
+		want *errorx.Type
+		bad  func(*Report)
+	}{
+		"negative amount":  {ErrOutOfRange, func(r *Report) { r.Entries[0].Tokens = -1 }},
+		"negative level":   {ErrOutOfRange, func(r *Report) { r.Entries[0].Deposit[0].Rate = -1 }},
+		"huge amount":      {ErrOutOfRange, func(r *Report) { r.Entries[0].WantRate = MaxAmount + 1 }},
+		"largest integer":  {ErrOutOfRange, func(r *Report) { r.Entries[0].WantRate = math.MaxInt64 }},
+		"long term":        {ErrOutOfRange, func(r *Report) { r.Entries[0].Deposit[1].TermMs = 3001 }},
+		"rising level":     {ErrOutOfRange, func(r *Report) { r.Entries[0].Deposit[1].Capacity = 3 * One }},
+		"terms not rising": {ErrOutOfRange, func(r *Report) { r.Entries[0].Deposit[1].TermMs = 1000 }},
+		"no account":       {ErrOutOfRange, func(r *Report) { r.Entries[0].Account = "" }},
+		"many levels":      {ErrTooLarge, func(r *Report) { r.Entries[0].Deposit = make([]Level, maxLevels+1) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := sampleReport()
+			c.bad(&r)
+			b, err := r.Encode()
+			assert.NilError(t, err)
+			_, err = DecodeReport(b)
+			assert.Assert(t, errorx.IsOfType(err, c.want), "%v", err)
+		})
+	}
+}
+
+// Guards against bytes that decode to something by chance: floating point
+// numbers, infinities among them, unknown fields, and sizes over the limit.
+func TestDecodeRefusesOtherBytes(t *testing.T) {
+	for _, v := range []any{
+		map[int]any{1: math.NaN()},
+		map[int]any{1: math.Inf(1)},
+		map[int]any{2: 1.5},
+		map[int]any{2: -1},
+		map[int]any{99: 1},
+		"text",
+		[]int{1},
+	} {
+		b, err := cbor.Marshal(v)
+		assert.NilError(t, err)
+		_, err = DecodeReport(b)
+		assert.Assert(t, errorx.IsOfType(err, ErrMalformed), "%v: %v", v, err)
+		_, err = DecodeReply(b)
+		assert.Assert(t, errorx.IsOfType(err, ErrMalformed), "%v: %v", v, err)
+	}
+	_, err := DecodeReport(make([]byte, MaxMessageBytes+1))
+	assert.Assert(t, errorx.IsOfType(err, ErrTooLarge), "%v", err)
+}
+
+// Guards against a crash on any bytes.
+func TestDecodeAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
+		_, _ = DecodeReport(b)
+		_, _ = DecodeReply(b)
+	})
+}
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quetzaldock.example/quetzaldock/pkg/config"
@@ -15,7 +16,9 @@
 const (
 	reportInterval = 850 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
-	callTimeout    = 500 * time.Millisecond
+	// configureInterval bounds how long a new snapshot waits; a request pokes.
+	configureInterval = 10 * time.Millisecond
+	callTimeout       = 500 * time.Millisecond
 	// parentWait is how long a broker holds a reply back for the root's.
 	parentWait = 15 * time.Millisecond
 	// avoidFor is how long a parent that did not answer is passed over.
@@ -49,10 +52,11 @@
 	once     sync.Once
 	member   exchanger
 	leader   exchanger
-	snapshot *config.Snapshot
+	changed  chan struct{} // a snapshot waits to be put into force
+	inForce  atomic.Pointer[config.Snapshot]
+	accepted atomic.Pointer[time.Time]
 	mu       sync.Mutex
 	avoid    map[string]time.Time
-	accepted time.Time
 }
 
 // An exchanger has at most one report in flight and counts rounds, so that a
@@ -125,9 +129,8 @@
 		r.leader = exchanger{poke: make(chan struct{}, 1), done: make(chan struct{})}
 		r.avoid = map[string]time.Time{}
 		r.Ledger.Wake = r.member.wake
-		if r.Allowed != nil {
-			r.Ledger.Allowed = r.Allowed
-		}
+		r.changed = make(chan struct{}, 1)
+		r.Ledger.Allowed = r.allowed
 		r.Ledger.Start()
 		if r.Broker.Age == nil {
 			r.Broker.Age = r.age
@@ -138,14 +141,46 @@
 	})
 }
 
+// allowed reports whether the ledger may spend. A new snapshot must be in the
+// ledger first: a node that missed versions would else spend an old share on
+// the strength of a new confirmation. Allowed is therefore asked before the
+// snapshot is read.
+func (r *Runner) allowed(now time.Time) bool {
+	if r.Allowed != nil && !r.Allowed(now) {
+		return false
+	}
+	if r.Snapshot() == r.inForce.Load() {
+		return true
+	}
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+	return false
+}
+
+// runConfigure puts new snapshots into force.
+func (r *Runner) runConfigure(ctx context.Context) {
+	tick := time.NewTicker(configureInterval)
+	defer tick.Stop()
+	for {
+		r.configure()
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.changed:
+		case <-tick.C:
+		}
+	}
+}
+
 // age returns the version in force and for how long it has been.
 func (r *Runner) age() (uint64, time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.snapshot == nil {
+	s, t := r.inForce.Load(), r.accepted.Load()
+	if s == nil || t == nil {
 		return 0, 0
 	}
-	return r.snapshot.Version, r.Ledger.Now().Sub(r.accepted)
+	return s.Version, r.Ledger.Now().Sub(*t)
 }
 
 func (r *Runner) limits(account string) (rate, burst float64) {
@@ -161,6 +196,7 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.Init()
 	var wg sync.WaitGroup
+	wg.Go(func() { r.runConfigure(ctx) })
 	wg.Go(func() { r.runMember(ctx) })
 	wg.Go(func() { r.runLeader(ctx) })
 	wg.Wait()
@@ -168,21 +204,19 @@
 
 // configure puts a new snapshot into force.
 func (r *Runner) configure() {
-	s := r.Snapshot()
-	r.mu.Lock()
-	changed := s != nil && s != r.snapshot
-	if changed {
-		if r.snapshot == nil || s.Version != r.snapshot.Version {
-			r.accepted = r.Ledger.Now()
-		}
-		r.snapshot = s
+	s, old := r.Snapshot(), r.inForce.Load()
+	if s == nil || s == old {
+		return
 	}
-	r.mu.Unlock()
-	if changed {
-		r.Ledger.Configure(s, r.Self.ID)
+	if old == nil || s.Version != old.Version {
+		r.accepted.Store(ptrTo(r.Ledger.Now()))
 	}
+	r.Ledger.Configure(s, r.Self.ID)
+	r.inForce.Store(s)
 }
 
+func ptrTo[T any](v T) *T { return &v }
+
 func (r *Runner) runMember(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -194,9 +228,7 @@
 			case <-ctx.Done():
 				return
 			case <-r.member.poke:
-				r.configure()
 			case <-tick.C:
-				r.configure()
 				now := time.Now()
 				urgent := r.Ledger.Tick() && now.Sub(last) >= surplusGap
 				if now.Before(next) && !urgent {
--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -14,6 +14,7 @@
 	heard  time.Duration // when base was received
 	known  bool
 
+	full    time.Duration // when the last report with all accounts was sent
 	seq     uint64
 	waiting bool
 	sent    time.Duration
@@ -25,12 +26,29 @@
 
 // open starts a report.
 func (x *uplink) open(boot uint64, now time.Duration) Report {
+	if x.waiting {
+		// The report before was lost, or its reply.
+		x.full = -fullGap
+	}
 	x.seq++
 	x.waiting, x.sent = true, now
 	x.told = map[string]volume{}
 	return Report{Boot: boot, Seq: x.seq, Base: x.base, Broker: !x.owner}
 }
 
+// fullGap is the least distance of reports with all accounts. Reports between
+// them name only the accounts that can't wait.
+const fullGap = 700 * time.Millisecond
+
+// complete reports whether the report that begins should name all accounts.
+func (x *uplink) complete(now time.Duration) bool {
+	if now-x.full < fullGap {
+		return false
+	}
+	x.full = now
+	return true
+}
+
 // usable reports whether a deposit counted from the base is worth sending.
 func (x *uplink) usable(now time.Duration) bool {
 	return x.known && now-x.heard < Term
@@ -44,6 +62,9 @@
 	}
 	x.waiting = false
 	x.base, x.heard, x.known = r.Base, now, true
+	if r.Stale {
+		x.full = -fullGap
+	}
 	x.party = partyOf(x.parent, r.Base.Boot)
 	return true
 }
--- a/pkg/quota/wait.go
+++ b/pkg/quota/wait.go
@@ -10,7 +10,7 @@
 
 // The wait before a node asks again for tokens that its broker did not have.
 const (
-	firstBackoff = 10 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
 	lastBackoff  = 200 * time.Millisecond
 )
 
