quota: keep the ledger's own condition, answer idle reports cheaply

Cause: Runner.Init replaced a condition that was set on the ledger, so a node that set only that one would have spent without fresh keys.

A report that wants nothing skips the search for cover.

--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -51,6 +51,10 @@
 func (p *pool) lend(party string, o *Offer, g *Grant, k *kid, now time.Duration) bool {
 	b := p.book
 	had := b.out[party]
+	if o.WantTokens == 0 && o.WantRate == 0 && o.WantCapacity == 0 && len(had) == 0 {
+		delete(p.wants, party)
+		return false
+	}
 	ends := make([]time.Duration, 0, len(loanTerms)+1)
 	if ends = append(ends, k.received+TokenTerm); k.broker {
 		ends[0] = k.received + BrokerTokenTerm
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -43,8 +43,8 @@
 	Placement func() *hosts.Placement
 	// Snapshot returns the configuration in force, nil if none.
 	Snapshot func() *config.Snapshot
-	// Allowed reports whether the node may spend; nil means always. It is
-	// handed to the ledger.
+	// Allowed reports whether the node may spend; nil takes the ledger's. The
+	// Runner sets the ledger's to one that also compares snapshots.
 	Allowed func(now time.Time) bool
 	// Failed is told of calls that failed; nil ignores them.
 	Failed func(to hosts.Host, err error)
@@ -130,6 +130,9 @@
 		r.avoid = map[string]time.Time{}
 		r.Ledger.Wake = r.member.wake
 		r.changed = make(chan struct{}, 1)
+		if r.Allowed == nil {
+			r.Allowed = r.Ledger.Allowed
+		}
 		r.Ledger.Allowed = r.allowed
 		r.Ledger.Start()
 		if r.Broker.Age == nil {
--- a/pkg/quota/runner_test.go
+++ b/pkg/quota/runner_test.go
@@ -84,3 +84,67 @@
 	wg.Wait()
 	assert.Equal(t, admitted, 20)
 }
+
+// Guards against spending on the strength of a confirmation that belongs to a
+// version the ledger does not hold yet, and against a Runner that drops the
+// ledger's own condition.
+func TestRunnerAllowsOnlyTheSnapshotInForce(t *testing.T) {
+	current := snapshot(1, hostIDs(1), map[string]limit{"club": {50, 5}})
+	past := time.Now().Add(-20 * time.Second)
+	now := past
+	fresh := true
+	r := &Runner{
+		Self:      hosts.Host{ID: "h-0000"},
+		Ledger:    &Ledger{Now: func() time.Time { return now }, Allowed: func(time.Time) bool { return fresh }},
+		Broker:    &Broker{Now: func() time.Time { return now }},
+		Placement: func() *hosts.Placement { return nil },
+		Snapshot:  func() *config.Snapshot { return current },
+	}
+	r.Init()
+	r.configure()
+	now = past.Add(20 * time.Second)
+	r.Ledger.Tick()
+	now = now.Add(time.Second)
+	assert.Assert(t, r.Ledger.Take("club"))
+	fresh = false
+	assert.Assert(t, !r.Ledger.Take("club"))
+	fresh = true
+	current = snapshot(2, hostIDs(1), map[string]limit{"club": {50, 5}})
+	assert.Assert(t, !r.Ledger.Take("club"))
+	r.configure()
+	assert.Assert(t, r.Ledger.Take("club"))
+}
+
+// Guards against tokens that a late reply brings after its loan has ended.
+func TestLateReplyBringsNoTokens(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	s := snapshot(1, hostIDs(2), map[string]limit{"club": {50, 5}})
+	b := &Broker{Now: clock}
+	lender, borrower := &Ledger{Now: clock}, &Ledger{Now: clock}
+	exchange := func(l *Ledger, id string) Reply {
+		r, ok := l.Report("p")
+		assert.Assert(t, ok)
+		reply, _ := b.Handle(id, r)
+		return reply
+	}
+	lender.Start()
+	borrower.Start()
+	lender.Configure(s, "h-0000")
+	now = now.Add(20 * time.Second)
+	lender.Tick()
+	now = now.Add(time.Second)
+	borrower.Configure(s, "h-0009")
+	for range 2 {
+		lender.Settle("p", exchange(lender, "h-0000"))
+	}
+	borrower.Settle("p", exchange(borrower, "h-0009"))
+	assert.Assert(t, !borrower.Take("club"))
+	late := exchange(borrower, "h-0009")
+	assert.Equal(t, late.Entries[0].Tokens, One)
+	now = now.Add(TokenTerm)
+	borrower.Settle("p", late)
+	a := borrower.all()["club"]
+	assert.Equal(t, a.book.k, 0.0)
+	assert.Assert(t, !borrower.Take("club"))
+}
