--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -157,7 +157,7 @@
 // node runs one node and returns the function that ends it.
 func (c *cluster) node(i int, l net.Listener, seeds []string) (*distribution.Distributor, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	web, p := platform.New(c.url), &peer.Client{}
+	web, p := platform.New(c.url), &peer.Client{Meter: &peer.Meter{}}
 	d := distribution.New(c.list.Hosts[i], seeds, web, p, slog.New(slog.DiscardHandler))
 	v := &peer.Server{Exchange: d.HandleExchange, Push: d.HandlePush, Pull: d.HandlePull}
 	var duties sync.WaitGroup
