Use one identity for all TLS between nodes and follow renewed files

Cause: three places built certificates and TLS configurations; the node read its PEM files once although its settings say that changes are followed, so a renewed certificate needed a restart. Change: peer, peercall, node and the experiments use tlsfiles.Identity, which each handshake asks anew; the node runs its check of the files. A seed whose host ID is unknown is verified against the authority only. Conclusion: one place decides who may connect.

--- a/internal/experiment/compose.go
+++ b/internal/experiment/compose.go
@@ -9,6 +9,7 @@
 
 	"quetzaldock.example/quetzaldock/internal/node"
 	"quetzaldock.example/quetzaldock/internal/standin"
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
 )
 
@@ -75,7 +76,7 @@
 	if err != nil {
 		return FleetFailed.Wrap(err, "cannot encode the configuration")
 	}
-	a, err := newAuthority()
+	a, err := tlsfiles.NewAuthority()
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/member.go
+++ b/internal/experiment/member.go
@@ -10,6 +10,7 @@
 	"quetzaldock.example/quetzaldock/internal/node"
 	"quetzaldock.example/quetzaldock/internal/operator"
 	"quetzaldock.example/quetzaldock/internal/standin"
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
 )
@@ -39,7 +40,7 @@
 	// advertised is the control address that the node tells others; empty for
 	// its own.
 	advertised string
-	authority  *authority
+	authority  *tlsfiles.Authority
 	logs       slog.Handler
 	fixedSplit bool
 	bound      bool // settings hold the bound addresses
@@ -55,7 +56,7 @@
 
 // bind makes a node and opens its listeners.
 func (m *member) bind() error {
-	t, err := m.authority.issue(m.host.ID)
+	t, err := m.authority.Issue(m.host.ID)
 	if err != nil {
 		return err
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -73,7 +74,10 @@
 	n.budget = balance.NewRetryBudget()
 	n.buildClaims()
 	n.calls = peercall.NewClient()
-	n.calls.TLS, n.calls.Started = n.TLS, n.started
+	n.calls.Started = n.started
+	if n.TLS != nil {
+		n.calls.TLS = func(host string) *tls.Config { return n.TLS.Client(host, "http/1.1") }
+	}
 	n.calls.SawVersion = n.distributor.Replica.SawVersion
 	n.handler = &caller.Handler{
 		Snapshot:     n.snapshot,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"net"
 	"os"
@@ -19,6 +18,7 @@
 	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/internal/platform"
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/gate"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
@@ -59,9 +59,9 @@
 	Log      *slog.Logger
 	// Level is the level of Log that operators may change.
 	Level *slog.LevelVar
-	// TLS holds the node's certificate and the roots as RootCAs and ClientCAs.
-	// It takes the place of Settings.TLS if set.
-	TLS *tls.Config
+	// TLS is the node's certificate and the authority of the mesh. It takes the
+	// place of Settings.TLS if set.
+	TLS *tlsfiles.Identity
 	// FixedSplit replaces lent shares of the rate by fixed ones, for
 	// experiments.
 	FixedSplit bool
@@ -208,6 +208,9 @@
 		}
 	})
 	w.Go(func() { n.tick(ctx) })
+	if n.TLS != nil {
+		w.Go(func() { n.TLS.Run(ctx) })
+	}
 	if !n.FixedSplit {
 		w.Go(func() { n.quota.Run(ctx) })
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -39,10 +39,7 @@
 	}
 	call := n.listeners.call
 	if n.TLS != nil {
-		c := n.TLS.Clone()
-		c.MinVersion, c.ClientAuth = tls.VersionTLS13, tls.RequireAndVerifyClientCert
-		c.NextProtos = []string{"http/1.1"}
-		call = tls.NewListener(call, c)
+		call = tls.NewListener(call, n.TLS.Server("http/1.1"))
 	}
 	op := &operator.Server{Status: n.Status, Metrics: n.metrics, Level: n.Level, Drain: n.Drain}
 	return &httpServers{
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"crypto/tls"
-
-	"quetzaldock.example/quetzaldock/internal/tlsfiles"
-)
+import "quetzaldock.example/quetzaldock/internal/tlsfiles"
 
 // loadTLS reads the certificates that the settings name.
 func (n *Node) loadTLS() error {
@@ -16,7 +12,7 @@
 	if err != nil {
 		return err
 	}
-	c := i.Client("")
-	n.TLS = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: c.Certificates, RootCAs: c.RootCAs, ClientCAs: c.RootCAs}
+	i.Log = n.Log
+	n.TLS = i
 	return nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
 	"quetzaldock.example/quetzaldock/pkg/spread"
 )
@@ -29,8 +30,8 @@
 
 // A Client calls other nodes. The fields are set before the first call.
 type Client struct {
-	// TLS holds the node's certificate and the roots; nil dials plain TCP.
-	TLS   *tls.Config
+	// TLS is the node's certificate and the authority; nil dials plain TCP.
+	TLS   *tlsfiles.Identity
 	Meter *Meter
 	// Dial opens a TCP connection; nil uses net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -182,7 +183,7 @@
 	if c.TLS == nil {
 		return t, nil
 	}
-	s := tls.Client(t, clientConfig(c.TLS, to.ID))
+	s := tls.Client(t, c.TLS.Client(to.ID))
 	if err := s.HandshakeContext(ctx); err != nil {
 		_ = t.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,13 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"math/big"
 	"net"
 	"strings"
 	"sync"
@@ -24,50 +18,25 @@
 	"gotest.tools/v3/assert"
 
 	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
 	"quetzaldock.example/quetzaldock/pkg/spread"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// An authority issues certificates of hosts.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pool *x509.CertPool
-}
-
-func newAuthority(t testing.TB) *authority {
+func newAuthority(t testing.TB) *tlsfiles.Authority {
 	t.Helper()
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	c := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "mesh"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	b, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	a, err := tlsfiles.NewAuthority()
 	assert.NilError(t, err)
-	c, err = x509.ParseCertificate(b)
-	assert.NilError(t, err)
-	p := x509.NewCertPool()
-	p.AddCert(c)
-	return &authority{cert: c, key: k, pool: p}
+	return a
 }
 
-func (a *authority) config(t testing.TB, id string) *tls.Config {
+func issue(t testing.TB, a *tlsfiles.Authority, id string) *tlsfiles.Identity {
 	t.Helper()
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	c := &x509.Certificate{
-		SerialNumber: big.NewInt(2), DNSNames: []string{id}, NotBefore: time.Now().Add(-time.Hour),
-		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	b, err := x509.CreateCertificate(rand.Reader, c, a.cert, &k.PublicKey, a.key)
+	i, err := a.Issue(id)
 	assert.NilError(t, err)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{b}, PrivateKey: k}}, RootCAs: a.pool, ClientCAs: a.pool,
-	}
+	return i
 }
 
 // serve runs a server and returns its host entry.
@@ -98,8 +67,8 @@
 // in-memory driver of pkg/spread adds to its counts.
 func TestWireOverhead(t *testing.T) {
 	a := newAuthority(t)
-	host := serve(t, &peer.Server{TLS: a.config(t, "h-0002"), Exchange: echo}, "h-0002")
-	c := &peer.Client{TLS: a.config(t, "h-0001"), Meter: &peer.Meter{}}
+	host := serve(t, &peer.Server{TLS: issue(t, a, "h-0002"), Exchange: echo}, "h-0002")
+	c := &peer.Client{TLS: issue(t, a, "h-0001"), Meter: &peer.Meter{}}
 	defer c.Close()
 	in := message("h-0001")
 	total := func() int64 { return c.Meter.In.Load() + c.Meter.Out.Load() }
@@ -124,8 +93,8 @@
 // Guards against a host that speaks in another host's name.
 func TestIdentityComesFromTheCertificate(t *testing.T) {
 	a := newAuthority(t)
-	host := serve(t, &peer.Server{TLS: a.config(t, "h-0002"), Exchange: echo}, "h-0002")
-	c := &peer.Client{TLS: a.config(t, "h-0001")}
+	host := serve(t, &peer.Server{TLS: issue(t, a, "h-0002"), Exchange: echo}, "h-0002")
+	c := &peer.Client{TLS: issue(t, a, "h-0001")}
 	defer c.Close()
 	_, err := c.Exchange(t.Context(), host, message("h-0003"))
 	assert.Assert(t, errorx.IsOfType(err, peer.Unreachable), "%v", err)
@@ -136,7 +105,7 @@
 	host.ID = ""
 	_, err = c.Exchange(t.Context(), host, message("h-0001"))
 	assert.NilError(t, err)
-	other := &peer.Client{TLS: newAuthority(t).config(t, "h-0001")}
+	other := &peer.Client{TLS: issue(t, newAuthority(t), "h-0001")}
 	defer other.Close()
 	_, err = other.Exchange(t.Context(), host, message("h-0001"))
 	assert.Assert(t, errorx.IsOfType(err, peer.Unreachable), "%v", err)
@@ -193,11 +162,11 @@
 // node does not serve.
 func TestQuotaCarriesBytes(t *testing.T) {
 	a := newAuthority(t)
-	s := &peer.Server{TLS: a.config(t, "h-0002"), Quota: func(_ context.Context, from string, b []byte) ([]byte, error) {
+	s := &peer.Server{TLS: issue(t, a, "h-0002"), Quota: func(_ context.Context, from string, b []byte) ([]byte, error) {
 		return append([]byte(from+" "), b...), nil
 	}}
 	host := serve(t, s, "h-0002")
-	c := &peer.Client{TLS: a.config(t, "h-0001")}
+	c := &peer.Client{TLS: issue(t, a, "h-0001")}
 	defer c.Close()
 	out, err := c.Quota(t.Context(), host, []byte{0, 1, 255})
 	assert.NilError(t, err)
@@ -208,8 +177,8 @@
 
 func BenchmarkExchange(b *testing.B) {
 	a := newAuthority(b)
-	host := serve(b, &peer.Server{TLS: a.config(b, "h-0002"), Exchange: echo}, "h-0002")
-	c := &peer.Client{TLS: a.config(b, "h-0001")}
+	host := serve(b, &peer.Server{TLS: issue(b, a, "h-0002"), Exchange: echo}, "h-0002")
+	c := &peer.Client{TLS: issue(b, a, "h-0001")}
 	defer c.Close()
 	in := message("h-0001")
 	start := processorTime(b)
@@ -232,8 +201,8 @@
 
 func BenchmarkDial(b *testing.B) {
 	a := newAuthority(b)
-	host := serve(b, &peer.Server{TLS: a.config(b, "h-0002"), Exchange: echo}, "h-0002")
-	own := a.config(b, "h-0001")
+	host := serve(b, &peer.Server{TLS: issue(b, a, "h-0002"), Exchange: echo}, "h-0002")
+	own := issue(b, a, "h-0001")
 	in := message("h-0001")
 	start := processorTime(b)
 	for b.Loop() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"quetzaldock.example/quetzaldock/internal/tlsfiles"
 	"quetzaldock.example/quetzaldock/pkg/spread"
 )
 
@@ -45,9 +46,8 @@
 // drpc.Handler. The fields are set before Serve; a nil function refuses its
 // call. From is the ID in the peer's certificate, or "" without TLS.
 type Server struct {
-	// TLS holds the node's certificate and the roots as RootCAs and ClientCAs;
-	// nil serves plain TCP.
-	TLS   *tls.Config
+	// TLS is the node's certificate and the authority; nil serves plain TCP.
+	TLS   *tlsfiles.Identity
 	Meter *Meter
 	Log   *slog.Logger
 
@@ -108,12 +108,12 @@
 	defer func() { _ = c.Close() }()
 	from := ""
 	if s.TLS != nil {
-		t := tls.Server(c, serverConfig(s.TLS))
+		t := tls.Server(c, s.TLS.Server())
 		hs, cancel := context.WithTimeout(ctx, handshakeTimeout)
 		err := t.HandshakeContext(hs)
 		cancel()
 		if err == nil {
-			from, err = identity(t.ConnectionState())
+			from, err = tlsfiles.PeerID(t.ConnectionState())
 		}
 		if err != nil {
 			if ctx.Err() == nil {
--- a/internal/peercall/client.go
+++ b/internal/peercall/client.go
@@ -29,9 +29,10 @@
 // A Client sends calls to other nodes. Its exported fields are set before
 // first use.
 type Client struct {
-	// TLS holds this node's certificate and the roots; nil means plain TCP. The
-	// other node's certificate must name its host ID.
-	TLS *tls.Config
+	// TLS returns the configuration of a connection to a host, whose certificate
+	// must name its ID. It is asked for each connection, so that a renewed
+	// certificate is used. Nil means plain TCP.
+	TLS func(host string) *tls.Config
 	// SawVersion is told the version of every answer.
 	SawVersion func(v uint64)
 	Now        func() time.Time
@@ -139,10 +140,10 @@
 	if c.TLS == nil {
 		return func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", to.Address) }
 	}
-	f := c.TLS.Clone()
-	f.MinVersion, f.ServerName = tls.VersionTLS13, to.Host
-	t := &tls.Dialer{NetDialer: d, Config: f}
-	return func(ctx context.Context) (net.Conn, error) { return t.DialContext(ctx, "tcp", to.Address) }
+	return func(ctx context.Context) (net.Conn, error) {
+		t := tls.Dialer{NetDialer: d, Config: c.TLS(to.Host)}
+		return t.DialContext(ctx, "tcp", to.Address)
+	}
 }
 
 // outgoing builds the request as the other node sees it. The caller's key
--- a/internal/peercall/peercall_test.go
+++ b/internal/peercall/peercall_test.go
@@ -357,7 +357,7 @@
 		{"certificate of another authority", issue(theirs, "host-0").Client("host-1"), "host-1", false},
 	} {
 		p := peercall.NewClient()
-		p.TLS = c.tls
+		p.TLS = func(string) *tls.Config { return c.tls }
 		before := ran
 		a, _, err := p.Do(context.Background(), peercall.Peer{Host: c.host, Address: l.Addr().String()}, newCall(), httptest.NewRequest(http.MethodGet, "/entries", nil), http.NoBody)
 		if c.ok {
--- a/internal/tlsfiles/identity.go
+++ b/internal/tlsfiles/identity.go
@@ -72,7 +72,8 @@
 	return c
 }
 
-// Client returns the configuration of one connection to the given host. It
+// Client returns the configuration of one connection to the given host, or to
+// any host of the same authority if hostID is empty. It
 // holds the certificate and authority in force now, so a caller takes a new
 // one for each connection it dials.
 func (i *Identity) Client(hostID string, protocols ...string) *tls.Config {
@@ -81,16 +82,36 @@
 	c.Certificates = []tls.Certificate{m.certificate}
 	c.RootCAs = m.authorities
 	c.ServerName = hostID
+	if hostID == "" {
+		c.InsecureSkipVerify = true // VerifyConnection takes its place.
+	}
 	c.VerifyConnection = func(s tls.ConnectionState) error {
 		id, err := PeerID(s)
-		if err == nil && id != hostID {
+		switch {
+		case err != nil:
+			return err
+		case hostID == "":
+			return i.verifyChain(s, m.authorities)
+		case id != hostID:
 			return ErrPeer.New("the certificate is for host %q, not %q", id, hostID)
 		}
-		return err
+		return nil
 	}
 	return c
 }
 
+// verifyChain checks a peer's certificate without its name.
+func (i *Identity) verifyChain(s tls.ConnectionState, roots *x509.CertPool) error {
+	o := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool(), CurrentTime: i.Now()}
+	for _, c := range s.PeerCertificates[1:] {
+		o.Intermediates.AddCert(c)
+	}
+	if _, err := s.PeerCertificates[0].Verify(o); err != nil {
+		return ErrPeer.Wrap(err, "the certificate is of another authority")
+	}
+	return nil
+}
+
 func (i *Identity) base(protocols []string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
