--- /dev/null
+++ b/pkg/quota/example_test.go
@@ -0,0 +1,84 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/quota"
+)
+
+// Two hosts share one account. An importer brings its own clock, transport,
+// placement and configuration; here the clock is set by hand and a report is
+// a function call.
+func Example() {
+	slots, ms, header, rate, burst := 4, 1000, 4096, 10.0, 4.0
+	manifest, parts, _ := config.Publish(1, map[string]config.Document{"all": {
+		Defaults: &config.Values{
+			Slots: &slots, ColdSlots: &slots, ConnectionsPerSecond: &ms, QueuePerAccount: &slots,
+			CallTimeoutMs: &ms, RetryPercent: &slots, MaxHeaderBytes: &header, Rate: &rate, Burst: &burst,
+		},
+		Zones:    []config.AvailabilityZone{{Name: "surco", Region: "lima"}},
+		Services: []config.Service{{Name: "desk"}},
+		Hosts:    []config.Host{{ID: "desk-1", Service: "desk", Zone: "surco"}, {ID: "desk-2", Service: "desk", Zone: "surco"}},
+		Accounts: []config.ClientAccount{{Name: "club-a"}},
+	}})
+	snapshot, err := config.Accept(manifest, parts)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	broker := &quota.Broker{Now: clock}
+	ledgers := map[string]*quota.Ledger{"desk-1": {Now: clock}, "desk-2": {Now: clock}}
+	for id, l := range ledgers {
+		l.Start()
+		l.Configure(snapshot, id)
+	}
+	// A share is used once every loan of an earlier process must have ended.
+	now = now.Add(quota.ActivationWait)
+	for _, l := range ledgers {
+		l.Tick()
+	}
+	now = now.Add(time.Second)
+	exchange := func(id string) {
+		report, _ := ledgers[id].Report("broker")
+		reply, _ := broker.Handle(id, report)
+		ledgers[id].Settle("broker", reply)
+	}
+	for range 2 { // the first exchange only learns the broker's clock
+		exchange("desk-1")
+		exchange("desk-2")
+	}
+	admitted := 0
+	for range 10 {
+		if ledgers["desk-1"].Take("club-a") {
+			admitted++
+			continue
+		}
+		exchange("desk-1")
+	}
+	fmt.Println("admitted at one host:", admitted)
+	// Output: admitted at one host: 4
+}
+
+// A Runner does the exchange over the network. Its Handle is called by the
+// server of the control listener.
+func ExampleRunner() {
+	r := &quota.Runner{
+		Self:      hosts.Host{ID: "desk-1", Zone: "surco"},
+		Ledger:    &quota.Ledger{Now: time.Now},
+		Broker:    &quota.Broker{Now: time.Now},
+		Call:      func(context.Context, hosts.Host, quota.Report) (quota.Reply, error) { return quota.Reply{}, nil },
+		Placement: func() *hosts.Placement { return nil },
+		Snapshot:  func() *config.Snapshot { return nil },
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	r.Run(ctx)
+	fmt.Println(r.Ledger.TakeWait(context.Background(), "club-a", time.Now().Add(time.Second)))
+	// Output: false
+}
