--- a/pkg/quota/measure_test.go
+++ b/pkg/quota/measure_test.go
@@ -51,6 +51,7 @@
 	if size == "1100" {
 		hostCount, zones = 1100, 19
 	}
+	t.Run("eight", func(t *testing.T) { t.Parallel(); measureEight(t, hostCount, zones) })
 	for _, delay := range []time.Duration{time.Millisecond, 3 * time.Millisecond} {
 		for _, l := range []limit{{5, 5}, {20, 20}, {200, 100}, {2000, 1000}} {
 			for _, pattern := range []string{"one", "all", "hop1s", "hop5s", "bursty"} {
@@ -63,6 +64,26 @@
 	}
 }
 
+// measureEight logs the control traffic of eight accounts at 90% of their
+// rates that come in at all hosts, and without any requests.
+func measureEight(t *testing.T, hostCount, zones int) {
+	for _, load := range []float64{0, 0.9} {
+		s := newSim(5, hostIDs(hostCount), zones, eight())
+		s.run(20 * time.Second)
+		end := s.now + 20*time.Second
+		for _, name := range slices.Sorted(mapsKeys(s.limits)) {
+			s.stats[name] = &tally{}
+			if load > 0 {
+				s.traffic(name, s.limits[name].rate*load, s.now, end, true, func() *node { return s.nodes[s.rng.IntN(len(s.nodes))] })
+			}
+		}
+		s.measure = true
+		s.run(end)
+		t.Logf("load %g", load)
+		logTraffic(t, s, 20)
+	}
+}
+
 // measure prints one row: requests per 100,000 that were refused although an
 // exact central bucket would have admitted them.
 func measure(t *testing.T, hostCount, zones int, delay time.Duration, l limit, pattern string) {
@@ -100,7 +121,7 @@
 			most = max(most, b)
 		}
 		d := (s.now - begin).Seconds()
-		row += fmt.Sprintf(" | %7.1f wrongful (net %7.1f, split %7.0f) of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered), 1e5*float64(x.refused-x.ideal)/float64(x.offered), 1e5*float64(x.fixed)/float64(x.offered),
+		row += fmt.Sprintf(" | %7.1f wrongful (net %7.1f, exact bucket %5.0f, split %6.0f) of %6d, %5.0f B/s (max %5.0f) %5.1f msg/s", 1e5*float64(x.wrongful)/float64(x.offered), 1e5*float64(x.refused-x.ideal)/float64(x.offered), 1e5*float64(x.ideal)/float64(x.offered), 1e5*float64(x.fixed)/float64(x.offered),
 			x.offered, float64(sum)/d/float64(hostCount), float64(most)/d, float64(msgs)/d/float64(hostCount))
 		if len(s.faults) > 0 {
 			t.Errorf("%d faults, first: %s", len(s.faults), s.faults[0])
