experiment: let a run without load take its time

Cause: a file with Load = 0 ended after its last call, so at once, and its events and control traffic were not measured.

Change: a run lasts until the end of RunMs in any case; a test holds that.

Before, the run ended before its measured part.

Conclusion: traffic at rest can be told from traffic under load.

--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -63,6 +63,8 @@
 	wg.Go(func() { r.report(running, v) })
 	wg.Go(func() { r.measureControl(running, zero, report) })
 	results := v.Run(ctx)
+	// Without load the events and the control traffic still take the whole run.
+	sleepUntil(ctx, zero.Add(ms(spec.RunMs)))
 	sleepUntil(ctx, time.Now().Add(settle))
 	stop()
 	wg.Wait()
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -204,3 +204,12 @@
 		}
 	}
 }
+
+// Guards against a run without load that ends before its events.
+func TestRunWithoutLoadTakesItsTime(t *testing.T) {
+	s := spec(0)
+	s.Events = []Event{{AtMs: 600, Do: Publish}}
+	r := runFake(t, s, "")
+	assert.Equal(t, len(r.Events), 1)
+	assert.Equal(t, len(r.Convergence), 1)
+}
