quota: send fewer steps of a leader's deposit

Cause: at 1,100 hosts the root spent most bytes on steps that end before the leader's next report or differ little.

Change: four steps, counted from now: two that cover the time to the next report, two for renewals.

--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -69,8 +69,12 @@
 	return true
 }
 
-// depositStep is the distance of the steps of a broker's deposits.
-const depositStep = 200 * time.Millisecond
+// depositTerms are the ends of a broker's deposits, from now. Members renew
+// their deposits early enough that nearly all of them last beyond the first
+// two, which cover the time to the broker's next report.
+var depositTerms = []time.Duration{
+	500 * time.Millisecond, 1050 * time.Millisecond, 1450 * time.Millisecond, 1850 * time.Millisecond,
+}
 
 // ends returns the instants at which the levels of a deposit end, as counted
 // by the child, in rising order.
@@ -80,9 +84,9 @@
 	}
 	last := x.heard + Term + margin(Term)
 	var out []time.Duration
-	for t := last - depositStep*time.Duration((last-now)/depositStep); t <= last; t += depositStep {
-		if t > now+depositStep/2 {
-			out = append(out, t)
+	for _, t := range depositTerms {
+		if now+t <= last {
+			out = append(out, now+t)
 		}
 	}
 	return out
