--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -29,6 +29,10 @@
 	// writeGrace is how long after its deadline a call's answer, or after its
 	// arrival a refusal, may take to be written.
 	writeGrace = time.Second
+	// bodyGrace is how long after its deadline a call's body may take. It lets
+	// a call whose body stopped midway end by its deadline, which tells the
+	// caller more than a broken body does.
+	bodyGrace = 250 * time.Millisecond
 	// DefaultMaxCalls is about four times what a node carries at the target:
 	// 155 calls a second with a time limit of 3 s.
 	DefaultMaxCalls = 2048
@@ -83,16 +87,13 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := h.Now()
-	s := &statusWriter{ResponseWriter: w}
+	s := &statusWriter{ResponseWriter: w, closing: h.Closing}
 	o := Observation{}
 	defer func() {
 		o.Status, o.Latency = s.status, h.Now().Sub(began)
 		o.Refused = s.Header().Get(call.HeaderNotRun)
 		h.Observe(o)
 	}()
-	if h.Closing() {
-		s.Header().Set("Connection", "close")
-	}
 	// The body is guarded before any refusal: net/http would otherwise wait
 	// for the rest of a refused body before it sends the refusal.
 	b := call.NewBody(w, r)
@@ -108,7 +109,11 @@
 	}
 	if c.Depth == 0 {
 		defer h.calls.Add(-1)
-		if h.calls.Add(1) > int64(h.maxCalls()) {
+		beyond := isBeyond(r)
+		if beyond {
+			s.Header().Set("Connection", "close")
+		}
+		if h.calls.Add(1) > int64(h.maxCalls()) || beyond {
 			writeError(s, &call.NotRun{Reason: string(gate.Overloaded)})
 			return
 		}
@@ -116,7 +121,7 @@
 	s.Header().Set(call.HeaderID, c.ID)
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	b.Limit(c.Deadline)
+	b.Limit(c.Deadline.Add(bodyGrace))
 	// A caller that stops reading must not hold a slot past the deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(writeGrace))
 	h.serve(ctx, s, r, c)
@@ -300,11 +305,17 @@
 type statusWriter struct {
 	http.ResponseWriter
 	status int
+	// closing is asked when the answer begins, which may be long after the
+	// request came.
+	closing func() bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *statusWriter) WriteHeader(status int) {
 	w.status = status
+	if w.closing() {
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -215,3 +216,18 @@
 	a, _ = x.do("GET", "/entries")
 	assert.Equal(t, a.StatusCode, 200)
 }
+
+// Guards against callers that keep a connection to a stopping node because
+// their call had begun before the stop.
+func TestHandlerAsksToLeaveWithTheAnswer(t *testing.T) {
+	x := newRig(t)
+	var closing atomic.Bool
+	x.Closing = closing.Load
+	x.local(func(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
+		closing.Store(true)
+		return ok(ctx, c, r)
+	})
+	a, body := x.do("GET", "/entries")
+	assert.Equal(t, a.StatusCode, 200, body)
+	assert.Assert(t, a.Close)
+}
