quota: fetch tokens before they run out, wait longer for a late loan

Cause: accounts with small shares fetched each token when a request already waited for it, within 25 ms. Change: a request for tokens covers 100 ms of use; it is sent when less than one token is left; leftover tokens stay until the reply; capacity that is lent out and empty goes back after 20 ms without a request; loans of tokens run 250 and 320 ms, and a request may wait 100 ms.

--- a/pkg/quota/book.go
+++ b/pkg/quota/book.go
@@ -95,6 +95,15 @@
 	b.recompute()
 }
 
+// borrowed returns the capacity that the node has borrowed.
+func (b *book) borrowed(now time.Duration) Amount {
+	var c Amount
+	for _, s := range b.in {
+		c += s.at(now).c
+	}
+	return c
+}
+
 // spend takes n units if the bucket holds them.
 func (b *book) spend(n Amount) bool {
 	if b.k < float64(n) {
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -154,7 +154,7 @@
 	}
 	a.mu.Lock()
 	ok := a.take(now)
-	wake := !ok && now >= a.retryAt
+	wake := (!ok || a.low()) && now >= a.retryAt
 	if !ok {
 		a.missed++
 	}
@@ -199,6 +199,16 @@
 	return volume{Units(min(use, rate*0.9) * max(1-2/c, 0)), Units(c)}
 }
 
+// returnAfter is how long an account without a bucket of its own here may be
+// idle before it gives empty capacity back.
+const returnAfter = 20 * time.Millisecond
+
+// low reports whether so few tokens are left that more should be fetched
+// before requests have to wait for them.
+func (a *account) low() bool {
+	return a.book.k < float64(One) && a.book.use.rate*prefetch.Seconds() >= 1
+}
+
 // Tick brings shares and estimates up to date and reports whether the node
 // holds so much more than it uses that a report should be sent at once. Call
 // it about every 50 ms.
@@ -241,6 +251,10 @@
 			return true
 		}
 	}
+	if t.c == 0 && now-b.use.lastHit > returnAfter && b.borrowed(now)-Amount(b.k) >= One {
+		// Capacity that is lent out and empty fills nowhere.
+		return true
+	}
 	for _, s := range b.in {
 		if lapse := s.at(now).r - s.at(now+renewAhead).r; lapse > 0 && b.v.r-lapse < t.r*3/4 {
 			return true
@@ -290,7 +304,7 @@
 
 // prefetch is how much use a request for tokens covers beyond the requests
 // that wait, so that a steady stream asks less often.
-const prefetch = 20 * time.Millisecond
+const prefetch = 100 * time.Millisecond
 
 func (a *account) offer(x *uplink, o *Offer, now time.Duration) {
 	a.mu.Lock()
@@ -304,7 +318,7 @@
 		n = 1
 	}
 	a.missed = 0
-	if n > 0 {
+	if n > 0 || a.low() {
 		n += Amount(rate * prefetch.Seconds())
 	}
 	// Half of the capacity is filled when a quarter or less is left. Whole
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -34,12 +34,12 @@
 	// TokenTerm is the term of capacity that is lent only to carry tokens for
 	// waiting requests. It returns to the broker without a message. It covers
 	// two exchanges and MaxWait.
-	TokenTerm = 80 * time.Millisecond
+	TokenTerm = 250 * time.Millisecond
 	// BrokerTokenTerm is TokenTerm for loans to a broker, which lends the
 	// tokens on within that time.
-	BrokerTokenTerm = 130 * time.Millisecond
+	BrokerTokenTerm = 320 * time.Millisecond
 	// MaxWait bounds how long a request waits for a token.
-	MaxWait = 25 * time.Millisecond
+	MaxWait = 100 * time.Millisecond
 )
 
 // Namespace holds the error types of the package.
--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -116,6 +116,10 @@
 	// What backs loans made from here can't be given back before they end.
 	backing := volume{}.minus(b.floors([]time.Duration{in.end()}, x.party, "")[0]).floor()
 	keep := held.min(want.max(backing))
+	if refill > 0 {
+		// What is left serves the requests that come before the reply.
+		keep.c = max(keep.c, min(held.c, (Amount(b.k)+One-1)/One*One))
+	}
 	moved := held.c - keep.c + raised.at(now).c - lent.c
 	if empty := b.v.c - moved - Amount(b.k) - 1; refill > 0 && empty > 0 {
 		empty = min(empty, refill, keep.c-min(backing.c, keep.c))
--- a/pkg/quota/wait.go
+++ b/pkg/quota/wait.go
@@ -38,7 +38,11 @@
 	}
 	a.mu.Lock()
 	if a.take(now) {
+		wake := a.low() && now >= a.retryAt
 		a.mu.Unlock()
+		if wake {
+			l.wake()
+		}
 		return true
 	}
 	w, wake := a.enqueue(now, until)
