Give a broker's quota back before a planned stop; bound callers' connections

The limit of connections was not used, a failure to accept ended the control listener, and the status lacked the quota's state. Change: quota.Runner.Leave: the broker answers with Leaving, returns deposits as far as they are not lent on, recalls its own from the root, and members report elsewhere. The control listener goes on after a failure to accept. Status shows capacity and tokens. Conclusion: a planned stop leaves the accounts their quota.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -48,13 +48,18 @@
 	if err != nil {
 		return nil, refusal(err)
 	}
+	if !s.WaitVersion(ctx, 0) {
+		// The floor rose while the call waited in the queue.
+		t.Done(gate.CallerGone)
+		return nil, &call.NotRun{Reason: string(gate.Behind)}
+	}
 	return s.send(ctx, c, r, &ending{s: s, ticket: t})
 }
 
 // check refuses calls that this host may not run.
 func (s *Server) check(ctx context.Context, c call.Call) error {
 	if !s.WaitVersion(ctx, c.Version) {
-		return &call.NotRun{Reason: "Behind"}
+		return &call.NotRun{Reason: string(gate.Behind)}
 	}
 	v := s.Snapshot()
 	switch {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"quetzaldock.example/quetzaldock/internal/node"
@@ -39,10 +40,20 @@
 	}
 }
 
+// processorTime returns the processor time of this process, which holds the
+// caller, the nodes and the server.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u unix.Rusage
+	assert.NilError(b, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (f *fleet) measure(b *testing.B, host, path string) {
 	h := hdrhistogram.New(1, 10_000_000, 3)
 	var mu sync.Mutex
 	var w sync.WaitGroup
+	began := processorTime(b)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for k := range benchWorkers {
@@ -69,6 +80,7 @@
 		})
 	}
 	w.Wait()
+	b.ReportMetric(float64((processorTime(b)-began).Microseconds())/float64(b.N), "cpu-us/op")
 	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
 	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
 	b.ReportMetric(float64(h.ValueAtQuantile(99.9)), "p99.9-us")
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -49,7 +49,6 @@
 
 func (n *Node) buildGate() {
 	n.gate = gate.New()
-	n.gate.Behind = func() bool { return n.distributor.Replica.Behind(time.Now()) }
 	p := http1.New(n.Settings.BackendAddress)
 	p.IdleClosed = func(k int) {
 		for range k {
--- a/internal/node/charge.go
+++ b/internal/node/charge.go
@@ -66,6 +66,7 @@
 		Self: n.Self(), Ledger: n.ledger, Broker: &quota.Broker{Now: time.Now},
 		Call: n.callQuota, Placement: n.distributor.Replica.Placement, Snapshot: n.snapshot,
 	}
+	n.quota.Init()
 	n.controlIn.Quota = n.handleQuota
 }
 
@@ -110,11 +111,15 @@
 }
 
 func (n *Node) accountStatus(v *view) []operator.AccountStatus {
+	states := map[string]quota.State{}
+	for _, s := range n.ledger.States() {
+		states[s.Account] = s
+	}
 	var out []operator.AccountStatus
 	for name := range v.snapshot.Accounts {
-		e, c := v.snapshot.Effective("", "", name), n.charges.of(name)
+		e, c, s := v.snapshot.Effective("", "", name), n.charges.of(name), states[name]
 		out = append(out, operator.AccountStatus{
-			Account: name, Rate: e.Rate, Burst: e.Burst,
+			Account: name, Rate: e.Rate, Burst: e.Burst, Capacity: s.Capacity, Tokens: s.Tokens,
 			Admitted: c.admitted.Load(), Refused: c.refused.Load(),
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,8 +36,10 @@
 	// forwarding its callers' requests while it asks them to connect elsewhere.
 	zoneOutGrace = 3 * time.Second
 	// leaveNotice is how long a stopping node goes on listening, so that other
-	// nodes and callers learn that it leaves before its addresses close.
-	leaveNotice = time.Second
+	// nodes and callers learn that it leaves before its addresses close. Members
+	// of its group report about once a second and fetch their quota in two
+	// reports.
+	leaveNotice = 2 * time.Second
 	// headerTimeout bounds how long a request's header may take to arrive.
 	headerTimeout = 5 * time.Second
 	// callerIdle is how long an unused caller's connection is kept.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"quetzaldock.example/quetzaldock/internal/caller"
 	"quetzaldock.example/quetzaldock/internal/operator"
 	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/pkg/gate"
@@ -42,8 +43,11 @@
 		call = tls.NewListener(call, n.TLS.Server("http/1.1"))
 	}
 	op := &operator.Server{Status: n.Status, Metrics: n.metrics, Level: n.Level, Drain: n.Drain}
+	callers := n.newServer(n.handler, n.listeners.caller)
+	limit := &caller.Connections{Max: caller.DefaultMaxConnections}
+	callers.ConnContext, callers.ConnState = limit.Context, limit.State
 	return &httpServers{
-		caller:   n.newServer(n.handler, n.listeners.caller),
+		caller:   callers,
 		call:     n.newServer(in, call),
 		operator: n.newServer(op.Handler(), n.listeners.operator),
 	}
@@ -70,6 +74,7 @@
 	n.Log.Info("node stops", "host", n.Settings.Host)
 	n.distributor.Replica.Leave()
 	n.gate.SetState(gate.StateLeaving)
+	n.quota.Leave()
 	n.apply()
 	deadline := time.Now().Add(time.Duration(n.Settings.StopMs) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -31,6 +32,8 @@
 	maxConnections = 1024
 	// inactivity closes connections that clients have given up.
 	inactivity = 2 * time.Minute
+	// acceptPause is the wait after a failure to accept.
+	acceptPause = 100 * time.Millisecond
 	// handshakeTimeout bounds a TLS handshake.
 	handshakeTimeout = 2 * time.Second
 )
@@ -90,11 +93,16 @@
 			return nil
 		}
 		if err != nil {
-			if t, ok := err.(net.Error); ok && t.Timeout() {
-				<-slots
-				continue
+			<-slots
+			if errors.Is(err, net.ErrClosed) {
+				return Unreachable.Wrap(err, "accept")
 			}
-			return Unreachable.Wrap(err, "accept")
+			// Such as too many open files, which ends when connections do.
+			s.Log.Warn("control connection not accepted", "error", err)
+			if !wait(ctx, acceptPause) {
+				return nil
+			}
+			continue
 		}
 		s.Meter.Accepts.Add(1)
 		conns.Go(func() {
@@ -104,6 +112,18 @@
 	}
 }
 
+// wait waits for d and returns false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (s *Server) serve(ctx context.Context, server *drpcserver.Server, c net.Conn) {
 	defer func() { _ = c.Close() }()
 	from := ""
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -66,9 +66,6 @@
 // before the first call. It is safe for concurrent use.
 type Gate struct {
 	Now func() time.Time
-	// Behind reports whether the node's configuration is older than the
-	// version floor; nil means never. It must neither block nor call the gate.
-	Behind func() bool
 	// WarmUp is the time in which a cold server warms up. The concurrency
 	// limit takes at least as long from ColdSlots to Slots.
 	WarmUp time.Duration
@@ -181,8 +178,6 @@
 	switch {
 	case g.state != Open:
 		return stateReasons[g.state]
-	case g.Behind != nil && g.Behind():
-		return Behind
 	case g.pause.covers(c.ArrivedAt):
 		return Paused
 	case !c.Deadline.IsZero() && !now.Before(c.Deadline):
--- a/pkg/quota/broker.go
+++ b/pkg/quota/broker.go
@@ -33,6 +33,16 @@
 	swept time.Duration
 	// renewed is when the parent last answered.
 	renewed time.Duration
+	// leaving is set by Leave and never unset.
+	leaving bool
+}
+
+// Leave makes the broker give back what it holds: deposits to its members
+// with their next reports, loans to its parent. It lends no more.
+func (b *Broker) Leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
 }
 
 // renewGap is the least age of the parent's last answer at which it is asked
@@ -100,11 +110,19 @@
 	}
 	k.seq, k.received, k.base, k.broker = r.Seq, now, base, r.Broker
 	k.offers = map[string]*Offer{}
+	out.Leaving = b.leaving
 	short := false
 	for i := range r.Entries {
 		o := &r.Entries[i]
 		p := b.pool(o.Account, now)
+		if b.leaving {
+			o.RecallRate, o.RecallCapacity = MaxAmount, MaxAmount
+		}
 		g := p.receive(party, o, k, now)
+		if b.leaving {
+			out.Entries = append(out.Entries, g)
+			continue
+		}
 		if p.lend(party, o, &g, k, now) && (o.WantTokens > g.Tokens || now-b.renewed > renewGap) {
 			short = true
 		}
@@ -205,7 +223,7 @@
 	if !x.usable(now) {
 		return r
 	}
-	full := x.complete(now)
+	full := x.complete(now) || b.leaving
 	for _, name := range slices.Sorted(maps.Keys(b.books)) {
 		p := b.books[name]
 		if !full && !p.pressing(now) {
@@ -221,7 +239,11 @@
 				p.target = targetOf(rate, burst, use, 0.5, 4)
 			}
 		}
-		p.offer(x, &o, now)
+		if b.leaving {
+			p.withdraw(x, &o, now)
+		} else {
+			p.offer(x, &o, now)
+		}
 		r.Entries = append(r.Entries, o)
 	}
 	return r
--- a/pkg/quota/message.go
+++ b/pkg/quota/message.go
@@ -84,6 +84,9 @@
 	Version      uint64  `cbor:"4,keyasint,omitempty"`
 	VersionAgeMs uint64  `cbor:"5,keyasint,omitempty"`
 	Entries      []Grant `cbor:"6,keyasint,omitempty"`
+	// Leaving is set by a broker that is about to stop. It gives deposits back
+	// as far as they are not lent on; the sender should report elsewhere.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 }
 
 // A Grant is a reply's entry for one account. It is left out when the broker
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -178,3 +178,12 @@
 		}
 	}
 }
+
+// withdraw asks the parent for everything that was lent to it and gives back
+// what was borrowed from it and is not lent on.
+func (p *pool) withdraw(x *uplink, o *Offer, now time.Duration) {
+	b := p.book
+	b.advance(now)
+	free := b.v.minus(b.in[x.party].at(now)).plus(b.out[x.party].at(now))
+	x.plan(b, o, free.floor(), 0, now)
+}
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -57,6 +57,8 @@
 	accepted atomic.Pointer[time.Time]
 	mu       sync.Mutex
 	avoid    map[string]time.Time
+	// leavers counts the replies of parents that are about to stop.
+	leavers map[string]int
 }
 
 // Init connects the ledger. Run and Handle do so too.
@@ -65,6 +67,7 @@
 		r.member = exchanger{poke: make(chan struct{}, 1), done: make(chan struct{})}
 		r.leader = exchanger{poke: make(chan struct{}, 1), done: make(chan struct{})}
 		r.avoid = map[string]time.Time{}
+		r.leavers = map[string]int{}
 		r.Ledger.Wake = r.member.wake
 		r.changed = make(chan struct{}, 1)
 		if r.Allowed == nil {
@@ -204,7 +207,46 @@
 	} else {
 		reply, err = r.call(ctx, to, report)
 	}
-	return err == nil && r.Ledger.Settle(to.ID, reply)
+	if err != nil {
+		return false
+	}
+	again := r.Ledger.Settle(to.ID, reply)
+	return r.noteLeaving(to, reply) || again
+}
+
+// leavingReports is how many reports go to a parent that leaves: the second
+// one names every account and brings all deposits back.
+const leavingReports = 2
+
+// avoidLeaving is how long a parent that leaves is passed over.
+const avoidLeaving = 10 * time.Second
+
+// noteLeaving passes a parent over that is about to stop. It reports whether
+// one more report should go there at once.
+func (r *Runner) noteLeaving(to hosts.Host, reply Reply) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !reply.Leaving {
+		delete(r.leavers, to.ID)
+		return false
+	}
+	r.leavers[to.ID]++
+	if r.leavers[to.ID] < leavingReports {
+		return true
+	}
+	if to.ID != r.Self.ID {
+		r.avoid[to.ID] = time.Now().Add(avoidLeaving)
+	}
+	return false
+}
+
+// Leave gives back what the node's broker holds. It is called once, before a
+// planned stop; members fetch their deposits within about a second.
+func (r *Runner) Leave() {
+	r.Init()
+	r.Broker.Leave()
+	r.leader.wake()
+	r.member.wake()
 }
 
 func (r *Runner) call(ctx context.Context, to hosts.Host, report Report) (Reply, error) {
@@ -315,7 +357,11 @@
 		return false
 	}
 	reply, err := r.call(ctx, to, r.Broker.Report(to.ID))
-	return err == nil && r.Broker.Settle(to.ID, reply)
+	if err != nil {
+		return false
+	}
+	again := r.Broker.Settle(to.ID, reply)
+	return r.noteLeaving(to, reply) || again
 }
 
 // Handle answers a report of the host from, which the caller must have
--- a/pkg/quota/runner_test.go
+++ b/pkg/quota/runner_test.go
@@ -115,6 +115,39 @@
 	assert.Assert(t, r.Ledger.Take("club"))
 }
 
+// Guards against quota that is lost for seconds when a broker stops as
+// planned.
+func TestLeavingBrokerGivesDepositsBack(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	s := snapshot(1, hostIDs(2), map[string]limit{"club": {100, 50}, "vets": {10, 10}})
+	b := &Broker{Now: clock}
+	l := &Ledger{Now: clock}
+	exchange := func() Reply {
+		r, ok := l.Report("p")
+		assert.Assert(t, ok)
+		reply, _ := b.Handle("h-0000", r)
+		l.Settle("p", reply)
+		return reply
+	}
+	l.Start()
+	l.Configure(s, "h-0000")
+	now = now.Add(20 * time.Second)
+	l.Tick()
+	now = now.Add(time.Second)
+	for range 3 {
+		exchange()
+		now = now.Add(time.Second)
+	}
+	capacity := func() float64 { return l.States()[0].Capacity + l.States()[1].Capacity }
+	assert.Equal(t, capacity(), 0.0)
+	b.Leave()
+	for range leavingReports {
+		assert.Assert(t, exchange().Leaving)
+	}
+	assert.Equal(t, capacity(), 30.0)
+}
+
 // Guards against tokens that a late reply brings after its loan has ended.
 func TestLateReplyBringsNoTokens(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/pkg/quota/uplink.go
+++ b/pkg/quota/uplink.go
@@ -61,6 +61,10 @@
 		return false
 	}
 	x.waiting = false
+	if r.Leaving {
+		// The next report names every account, so that all is given back.
+		x.full = -fullGap
+	}
 	x.base, x.heard, x.known = r.Base, now, true
 	if r.Stale {
 		x.full = -fullGap
