--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -143,7 +143,12 @@
 // retryMs estimates when the pool has a whole token again.
 func (p *pool) retryMs(now time.Duration) uint32 {
 	b := p.book
-	ms := uint32(lastBackoff / time.Millisecond)
+	// A pool without a rate of its own has lent it to the parent, which may
+	// answer at any moment.
+	ms := uint32(firstBackoff / time.Millisecond)
+	if b.v.r > 0 {
+		ms = uint32(lastBackoff / time.Millisecond)
+	}
 	if b.v.r > 0 && b.v.c >= One {
 		if s := (float64(One) - b.k) / float64(b.v.r); s < lastBackoff.Seconds() {
 			ms = uint32(max(s*1000, 0)) + 1
--- a/pkg/quota/runner.go
+++ b/pkg/quota/runner.go
@@ -20,7 +20,8 @@
 	configureInterval = 10 * time.Millisecond
 	callTimeout       = 500 * time.Millisecond
 	// parentWait is how long a broker holds a reply back for the root's.
-	parentWait = 15 * time.Millisecond
+	// It is below MaxWait, so that the requests are still there.
+	parentWait = 60 * time.Millisecond
 	// avoidFor is how long a parent that did not answer is passed over.
 	avoidFor = 2 * time.Second
 	// surplusGap is the least distance of reports that only lend or renew.
