--- a/cmd/quetzaldock/main.go
+++ b/cmd/quetzaldock/main.go
@@ -12,6 +12,7 @@
 func main() {
 	c := newCLI(os.Stdout)
 	c.addNode()
+	c.addSidecar()
 	c.addStatus()
 	c.addDemo()
 	c.addLoad()
--- /dev/null
+++ b/cmd/quetzaldock/sidecar.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"quetzaldock.example/quetzaldock/internal/command"
+	"quetzaldock.example/quetzaldock/internal/sidecar"
+	"quetzaldock.example/quetzaldock/platform"
+)
+
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "QUETZALDOCK_SETTINGS"
+
+func (c *cli) addSidecar() {
+	var settings string
+	s := c.add(nil, "sidecar", "run the process beside a backend server on the users' platform", func(args []string) error {
+		if settings == "" {
+			settings = os.Getenv(settingsVariable)
+		}
+		if settings == "" || len(args) > 0 {
+			return command.ErrUsage.New("sidecar needs --settings FILE or %s, and nothing else", settingsVariable)
+		}
+		return runSidecar(settings)
+	})
+	s.String(&settings, "s", "settings", "settings file in TOML")
+}
+
+// runSidecar serves until SIGTERM or SIGINT and then stops gracefully.
+func runSidecar(path string) error {
+	s, err := sidecar.ReadSettings(path)
+	if err != nil {
+		return command.ErrUsage.Wrap(err, "%s", path)
+	}
+	n := sidecar.New(*s)
+	if n.Bounds, err = platform.Bounds(s.Bounds); err != nil {
+		return command.ErrUsage.Wrap(err, "%s", path)
+	}
+	n.Headers, n.ReadyPath = platform.Headers(), platform.ReadyPath
+	n.Source = platform.NewStore(s.PlatformURL, sidecar.DialTCP).Source()
+	n.Reload = func() (*sidecar.Settings, error) { return sidecar.ReadSettings(path) }
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return n.Run(ctx)
+}
--- a/internal/caller/replay.go
+++ b/internal/call/replay.go
@@ -1,4 +1,4 @@
-package caller
+package call
 
 import (
 	"bytes"
@@ -12,9 +12,9 @@
 // replayBytes is the largest request body that is kept for another attempt.
 const replayBytes = 64 << 10
 
-// A replay hands out the body of a request for each attempt. A body of known
+// A Replay hands out the body of a request for each attempt. A body of known
 // length up to replayBytes is kept; any other can be sent only once.
-type replay struct {
+type Replay struct {
 	// src is the body; nil without one.
 	src io.Reader
 	// kept is the whole body if small is set.
@@ -31,7 +31,7 @@
 }
 
 // A streamed is a body that can be sent only once.
-type streamed struct{ b *replay }
+type streamed struct{ b *Replay }
 
 // Read implements io.Reader.
 func (s *streamed) Read(p []byte) (int, error) {
@@ -48,28 +48,44 @@
 // Close implements io.Closer. The handler closes the body itself.
 func (s *streamed) Close() error { return nil }
 
-// newReplay reads a short body whole before the first attempt, so that a body
-// that breaks off is noticed before any backend server sees the request.
-func newReplay(r *http.Request) (*replay, error) {
+// A BadBody error means that the body of a request did not arrive whole. The
+// request did not run.
+type BadBody struct {
+	// Late is set if the time for the body ran out.
+	Late bool
+}
+
+// Error implements error.
+func (e *BadBody) Error() string {
+	if e.Late {
+		return "not run: the body came too slowly"
+	}
+	return "not run: the body is incomplete"
+}
+
+// NewReplay reads a short body whole before the first attempt, so that a body
+// that breaks off is noticed before any backend server sees the request. The
+// error is a *BadBody.
+func NewReplay(r *http.Request) (*Replay, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return &replay{small: true}, nil
+		return &Replay{small: true}, nil
 	}
-	b := &replay{src: r.Body}
+	b := &Replay{src: r.Body}
 	if r.ContentLength < 0 || r.ContentLength > replayBytes {
 		return b, nil
 	}
 	b.kept, b.small = make([]byte, r.ContentLength), true
 	switch _, err := io.ReadFull(r.Body, b.kept); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &Rejection{Status: http.StatusRequestTimeout, Reason: "BodyLate"}
+		return nil, &BadBody{Late: true}
 	case err != nil:
-		return nil, &Rejection{Status: http.StatusBadRequest, Reason: "BodyIncomplete"}
+		return nil, &BadBody{}
 	}
 	return b, nil
 }
 
-// next returns the body for the next attempt.
-func (b *replay) next() io.ReadCloser {
+// Next returns the body for the next attempt.
+func (b *Replay) Next() io.ReadCloser {
 	switch {
 	case b.src == nil:
 		return http.NoBody
@@ -82,9 +98,9 @@
 	return b.owner
 }
 
-// canRepeat reports whether another attempt could send the same body. A body
+// CanRepeat reports whether another attempt could send the same body. A body
 // of which nothing was read can be; the former attempt then no longer can.
-func (b *replay) canRepeat() bool {
+func (b *Replay) CanRepeat() bool {
 	if b.small {
 		return true
 	}
@@ -95,3 +111,6 @@
 	}
 	return !b.started
 }
+
+// Kept reports whether every attempt can send the whole body.
+func (b *Replay) Kept() bool { return b.small }
--- a/internal/caller/dispatcher.go
+++ b/internal/caller/dispatcher.go
@@ -42,7 +42,7 @@
 func (d *Dispatcher) Do(ctx context.Context, c call.Call, r *http.Request) (*http.Response, error) {
 	// A short body is complete before the key is claimed. A body that breaks
 	// off would otherwise leave its key behind as possibly run.
-	b, err := newReplay(r)
+	b, err := call.NewReplay(r)
 	if err != nil {
 		return nil, err
 	}
@@ -66,7 +66,7 @@
 }
 
 // run makes attempts until one is answered or no further one is allowed.
-func (d *Dispatcher) run(ctx context.Context, c call.Call, r *http.Request, b *replay) (*http.Response, error) {
+func (d *Dispatcher) run(ctx context.Context, c call.Call, r *http.Request, b *call.Replay) (*http.Response, error) {
 	d.Budget.Earned(c.Service)
 	t, ok := d.Chooser.Pick(c.Service, nil)
 	if !ok {
@@ -108,7 +108,7 @@
 	balance.Target
 	// number is 1 for the first attempt.
 	number int
-	body   *replay
+	body   *call.Replay
 	// paid is set when the retry that follows was already taken from the
 	// budget.
 	paid bool
@@ -130,7 +130,7 @@
 func (d *Dispatcher) attempt(ctx context.Context, t *attempt, c call.Call, r *http.Request) (*http.Response, error) {
 	d.Chooser.Started(t.ID)
 	q := r.WithContext(ctx)
-	q.Body = t.body.next()
+	q.Body = t.body.Next()
 	var a *http.Response
 	var l peercall.Load
 	var err error
@@ -157,7 +157,7 @@
 	given := make(chan bool, 1)
 	silent := time.AfterFunc(silentAfter, func() {
 		_, other := d.Chooser.Pick(c.Service, []string{t.ID})
-		up := other && t.body.small && d.Budget.Allow(c.Service, d.Now())
+		up := other && t.body.Kept() && d.Budget.Allow(c.Service, d.Now())
 		if up {
 			d.Peers.Silent(peer)
 			cancel()
@@ -212,7 +212,7 @@
 		return balance.GiveUpUnknown
 	}
 	notRun := errors.As(err, &nr)
-	final := t.final || (notRun && nr.Final) || (errors.As(err, &u) && u.Deeper) || !t.body.canRepeat()
+	final := t.final || (notRun && nr.Final) || (errors.As(err, &u) && u.Deeper) || !t.body.CanRepeat()
 	return balance.Decide(balance.Attempt{
 		Service: c.Service, Number: t.number, NotRun: notRun, Sent: !notRun, EarlierUnknown: unknown,
 		Idempotent: c.Idempotent, NoRetry: final, Now: d.Now(), Deadline: c.Deadline, Allow: d.allow(t),
@@ -242,7 +242,7 @@
 func (d *Dispatcher) shouldRetryAnswer(a *http.Response, c call.Call, t *attempt) bool {
 	return balance.Decide(balance.Attempt{
 		Service: c.Service, Number: t.number, Sent: true, Idempotent: c.Idempotent,
-		NoRetry: t.final || !t.body.small || a.Header.Get(call.HeaderRetry) == "no",
+		NoRetry: t.final || !t.body.Kept() || a.Header.Get(call.HeaderRetry) == "no",
 		Now:     d.Now(), Deadline: c.Deadline, Allow: d.allow(t),
 	}) == balance.Retry
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -287,7 +287,15 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	var j *Rejection
-	if !errors.As(err, &j) {
+	var b *call.BadBody
+	if errors.As(err, &b) {
+		j = &Rejection{Status: http.StatusBadRequest, Reason: "BodyIncomplete"}
+		if b.Late {
+			j = &Rejection{Status: http.StatusRequestTimeout, Reason: "BodyLate"}
+		}
+		err = j
+	}
+	if j == nil && !errors.As(err, &j) {
 		peercall.WriteFailure(w, err)
 		return
 	}
--- a/internal/peercall/answer.go
+++ b/internal/peercall/answer.go
@@ -69,10 +69,12 @@
 	return a, nil
 }
 
-// drain reads the rest of a short answer, so that its connection can be used
-// again.
-func drain(a *http.Response) {
-	_, _ = io.CopyN(io.Discard, a.Body, refusalBytes)
+func drain(a *http.Response) { Drain(a, refusalBytes) }
+
+// Drain reads the rest of a short answer, at most limit bytes, so that its
+// connection can be used again.
+func Drain(a *http.Response, limit int64) {
+	_, _ = io.CopyN(io.Discard, a.Body, limit)
 	_ = a.Body.Close()
 }
 
--- a/internal/peercall/client.go
+++ b/internal/peercall/client.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/call"
@@ -40,8 +39,7 @@
 	// Keepalive configures TCP's own detection of dead connections.
 	Keepalive net.KeepAliveConfig
 
-	mu    sync.Mutex
-	pools map[Peer]*http1.Pool
+	pools http1.Set[Peer]
 	id    string
 }
 
@@ -54,14 +52,15 @@
 
 // NewClient returns a client with a fresh process identity.
 func NewClient() *Client {
-	return &Client{
+	c := &Client{
 		SawVersion: func(uint64) {},
 		Now:        time.Now,
 		Started:    time.Now(),
 		Keepalive:  net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
-		pools:      map[Peer]*http1.Pool{},
 		id:         rand.Text(),
 	}
+	c.pools.Open = c.open
+	return c
 }
 
 // A Load is what a gate says of itself in its answers.
@@ -74,7 +73,7 @@
 // Do sends a call to another node once. It fails with *call.NotRun,
 // *call.Unknown or *call.Repeat.
 func (c *Client) Do(ctx context.Context, to Peer, k call.Call, r *http.Request, body io.ReadCloser) (*http.Response, Load, error) {
-	p, q := c.pool(to), c.outgoing(k, r, body)
+	p, q := c.pools.Pool(to), c.outgoing(k, r, body)
 	send := p.DoOnce
 	if k.Idempotent {
 		send = p.Do
@@ -92,46 +91,16 @@
 }
 
 // Silent drops the connections to a node after one of them gave no answer.
-func (c *Client) Silent(to Peer) { c.pool(to).Drop() }
+func (c *Client) Silent(to Peer) { c.pools.Pool(to).Drop() }
 
-// Sweep closes dead and long unused connections; pools without any are
-// forgotten.
-func (c *Client) Sweep() {
-	c.mu.Lock()
-	pools := make(map[Peer]*http1.Pool, len(c.pools))
-	for a, p := range c.pools {
-		pools[a] = p
-	}
-	c.mu.Unlock()
-	before := c.Now().Add(-idleLimit)
-	for a, p := range pools {
-		p.Sweep(before)
-		if p.Open() == 0 {
-			c.mu.Lock()
-			delete(c.pools, a)
-			c.mu.Unlock()
-		}
-	}
-}
+// Sweep closes dead and long unused connections.
+func (c *Client) Sweep() { c.pools.Sweep(c.Now().Add(-idleLimit)) }
 
 // Close closes all idle connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.Close()
-	}
-}
+func (c *Client) Close() { c.pools.Close() }
 
-func (c *Client) pool(to Peer) *http1.Pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pools[to]
-	if p == nil {
-		p = &http1.Pool{MaxIdle: maxIdlePerHost, Probe: true, Dial: c.dialer(to)}
-		c.pools[to] = p
-	}
-	return p
+func (c *Client) open(to Peer) *http1.Pool {
+	return &http1.Pool{MaxIdle: maxIdlePerHost, Probe: true, Dial: c.dialer(to)}
 }
 
 func (c *Client) dialer(to Peer) func(context.Context) (net.Conn, error) {
--- /dev/null
+++ b/internal/sidecar/apply.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/split"
+)
+
+const (
+	// budgetPart is the part of the tolerated repeats that nodes use. The rest
+	// covers the calls that repeated requests make in turn.
+	budgetPart = 0.5
+	percent    = 100
+)
+
+// accept applies what a read of the store returned; whole tells a listing of
+// everything from a list of changes.
+func (n *Node) accept(u *Update, whole bool) {
+	if whole {
+		n.directory.Replace(u.Changes)
+		n.listed.Store(true)
+	} else {
+		n.directory.Apply(u.Changes)
+	}
+	for i := range u.Changes {
+		c := &u.Changes[i]
+		if c.Reason != "" {
+			n.Log.Warn("entry names no instance", "instance", c.ID, "reason", c.Reason)
+		}
+		if i := &c.Instance; c.Kind == fleet.InstanceSet && i.ColdFor > 0 && i.Address == n.settings().BackendAddress {
+			n.publishedCold(i)
+		}
+	}
+	if u.Published != nil {
+		n.acceptConfig(u.Published)
+	}
+}
+
+// acceptConfig puts a published configuration in force if it is newer than
+// the present one and has no fault.
+func (n *Node) acceptConfig(p *Published) {
+	old := n.snapshot.Load()
+	if old != nil && p.Version <= old.Version {
+		return
+	}
+	if p.Fault != nil {
+		n.Log.Error("configuration cannot be read", "error", p.Fault)
+		return
+	}
+	v, err := config.Assemble(p.Version, p.Document)
+	if err != nil {
+		n.Log.Error("configuration refused", "version", p.Version, "error", err)
+		return
+	}
+	n.snapshot.Store(v)
+	n.quota.Configure(limits(v))
+	n.Log.Info("configuration in force", "version", v.Version, "routes", len(v.Routes), "accounts", len(v.Accounts))
+	n.applyFleet()
+	if old == nil {
+		n.suspectRestart("first configuration")
+	}
+}
+
+// limits returns the limit of each account.
+func limits(v *config.Snapshot) map[string]split.Limit {
+	all := make(map[string]split.Limit, len(v.Accounts))
+	for name := range v.Accounts {
+		e := v.Effective("", "", name)
+		if e.Rate < config.Unlimited {
+			all[name] = split.Limit{Rate: e.Rate, Burst: e.Burst}
+		}
+	}
+	return all
+}
+
+// setBudget divides the tolerated repeats over the nodes.
+func (n *Node) setBudget(nodes int) {
+	v := n.snapshot.Load()
+	if v == nil {
+		return
+	}
+	for name := range v.Services {
+		n.budget.Configure(name, int(budgetPart*n.Bounds.RetryRatio*percent))
+	}
+	n.budget.SetMost(budgetPart * n.Bounds.RetryExtra / float64(max(1, nodes)))
+}
+
+// storeAnswered records that the store answers.
+func (n *Node) storeAnswered() {
+	n.directory.StoreBack()
+	if n.storeDown.Swap(false) {
+		n.Log.Info("store answers again")
+	}
+}
+
+// storeFailed records that the store did not answer.
+func (n *Node) storeFailed(err error) {
+	n.directory.StoreLost()
+	if !n.storeDown.Swap(true) {
+		n.Log.Warn("store does not answer", "error", err)
+	}
+}
+
+// publishedCold applies what the local instance published of its start.
+func (n *Node) publishedCold(i *fleet.Instance) {
+	if s := n.ownService(); s != nil {
+		n.door.SetCold(time.Now().Add(i.ColdFor), s.ColdPerSecond)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/callers.go
@@ -0,0 +1,278 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/peercall"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/door"
+	"quetzaldock.example/quetzaldock/pkg/split"
+)
+
+const (
+	// defaultTimeout bounds a request that states no time and whose route has
+	// none.
+	defaultTimeout = 30 * time.Second
+	// keepAnswerBytes is the largest answer that is read whole before its
+	// first byte is passed on, so that one that breaks off can be replaced.
+	keepAnswerBytes = 64 << 10
+	// returnFirst and returnLast bound the time after which a refused caller
+	// is asked to come back.
+	returnFirst = 30 * time.Millisecond
+	returnLast  = 2 * time.Second
+	// returnSpread is the part of that time by which callers are spread, so
+	// that those refused together do not come back together.
+	returnSpread = 0.5
+	// returnUnknown is that time where nothing is known of the cause's end.
+	returnUnknown = 250 * time.Millisecond
+)
+
+// callers serves the requests that begin on this host.
+type callers struct {
+	names    *Headers
+	dispatch *dispatcher
+	quota    *split.Split
+	log      *slog.Logger
+	now      func() time.Time
+	// snapshot returns the configuration in force, nil before the first.
+	snapshot func() *config.Snapshot
+	// service returns the service of this host.
+	service func() string
+	// closing reports that the node is being stopped.
+	closing func() bool
+	// backend is the IP address from which the local backend server calls.
+	backend func() string
+	observe func(o Observation)
+}
+
+// An Observation describes one answered request.
+type Observation struct {
+	// Route is the prefix of the route, empty without one.
+	Route   string
+	Account string
+	Status  int
+	// Refused is the reason of the node's own answer, empty for an answer of
+	// the backend server.
+	Refused string
+	Latency time.Duration
+}
+
+// A rejection is the node's own answer to a request.
+type rejection struct {
+	status int
+	reason string
+	// after asks the caller to come back, zero if it says nothing.
+	after time.Duration
+}
+
+// Error implements error.
+func (r *rejection) Error() string { return r.reason }
+
+// ServeHTTP implements http.Handler.
+func (s *callers) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	o := Observation{}
+	began := s.now()
+	defer func() {
+		o.Latency = s.now().Sub(began)
+		s.observe(o)
+	}()
+	b := call.NewBody(w, in)
+	defer b.Release()
+	j, err := s.accept(in, began)
+	if j.route != nil {
+		o.Route, o.Account = j.route.Prefix, j.account
+	}
+	if err != nil {
+		s.reject(w, in, err, &o)
+		return
+	}
+	b.Limit(j.deadline)
+	_ = http.NewResponseController(w).SetWriteDeadline(j.deadline.Add(writeGrace))
+	ctx, cancel := context.WithDeadline(in.Context(), j.deadline)
+	defer cancel()
+	a, err := s.serve(ctx, j)
+	if err != nil {
+		s.reject(w, in, err, &o)
+		return
+	}
+	defer func() { _ = a.Body.Close() }()
+	o.Status = a.StatusCode
+	s.setClosing(w.Header())
+	if _, ok := a.Header["Content-Type"]; !ok {
+		// Without the entry net/http would guess a type.
+		w.Header()["Content-Type"] = nil
+	}
+	peercall.CopyAnswer(w, a)
+}
+
+// A job is one accepted request.
+type job struct {
+	in       *http.Request
+	header   http.Header
+	route    *config.Route
+	account  string
+	deadline time.Time
+	priority int
+	nested   bool
+	// repeatable requests may run more than once.
+	repeatable bool
+	body       *call.Replay
+}
+
+// accept tells what a request is and whose, or why it is refused.
+func (s *callers) accept(in *http.Request, now time.Time) (*job, error) {
+	j := &job{in: in}
+	v := s.snapshot()
+	if v == nil {
+		return j, &rejection{http.StatusServiceUnavailable, "Starting", returnUnknown}
+	}
+	route, ok := v.RouteOf(in.Host, path(in))
+	if !ok {
+		return j, &rejection{http.StatusNotFound, "NoRoute", 0}
+	}
+	j.route, j.priority = route, route.Priority
+	j.repeatable = route.CanRepeat(call.IsIdempotentMethod(in.Method))
+	if host, _, err := net.SplitHostPort(in.RemoteAddr); err == nil {
+		j.nested = host == s.backend()
+	}
+	if err := s.identify(j, v); err != nil {
+		return j, err
+	}
+	if n := v.CallerLimits.BodyBytes; n > 0 && in.ContentLength > int64(n) {
+		return j, &rejection{http.StatusRequestEntityTooLarge, "BodyTooLarge", 0}
+	}
+	if err := s.limit(j, now); err != nil {
+		return j, err
+	}
+	j.header = passedOn(in.Header, 4, s.names)
+	j.header[s.names.CallerService] = []string{s.service()}
+	if j.account != "" {
+		j.header[s.names.Account] = []string{j.account}
+	}
+	return j, nil
+}
+
+// identify sets the account that holds the request's key.
+func (s *callers) identify(j *job, v *config.Snapshot) error {
+	if j.route.Open || len(v.Accounts) == 0 {
+		return nil
+	}
+	a, ok := v.AccountOfKey(j.in.Header.Get(s.names.Key))
+	if !ok {
+		return &rejection{http.StatusUnauthorized, "KeyUnknown", 0}
+	}
+	j.account = a.Name
+	if a.Priority != nil {
+		j.priority = *a.Priority
+	}
+	return nil
+}
+
+// limit sets the time at which the request ends.
+func (s *callers) limit(j *job, now time.Time) error {
+	d := defaultTimeout
+	if t := j.in.Header.Get(s.names.TimeLeft); t != "" {
+		ms, err := strconv.ParseFloat(t, 64)
+		if err != nil || !(ms > 0) {
+			return &rejection{http.StatusBadRequest, "BadTimeLeft", 0}
+		}
+		d = min(d, time.Duration(ms*float64(time.Millisecond)))
+	}
+	if t := j.route.TimeoutMs; t > 0 {
+		d = min(d, time.Duration(t)*time.Millisecond)
+	}
+	j.deadline = now.Add(d)
+	return nil
+}
+
+// serve has an accepted request run. Its errors are those that reject takes.
+func (s *callers) serve(ctx context.Context, j *job) (*http.Response, error) {
+	if j.account != "" {
+		if ok, after := s.quota.Take(j.account); !ok {
+			return nil, &rejection{http.StatusTooManyRequests, "RateExceeded", after}
+		}
+	}
+	body, err := call.NewReplay(j.in)
+	if err == nil {
+		j.body = body
+		var a *http.Response
+		if a, err = s.dispatch.do(ctx, j); err == nil {
+			return a, nil
+		}
+	}
+	var u *call.Unknown
+	if j.account != "" && !errors.As(err, &u) {
+		s.quota.GiveBack(j.account)
+	}
+	return nil, err
+}
+
+// reject gives the node's own answer to a request.
+func (s *callers) reject(w http.ResponseWriter, in *http.Request, err error, o *Observation) {
+	r := rejectionOf(err)
+	o.Status, o.Refused = r.status, r.reason
+	if in.Context().Err() != nil {
+		return
+	}
+	h := w.Header()
+	s.setClosing(h)
+	if id := in.Header[s.names.RequestID]; len(id) > 0 {
+		h[s.names.RequestID] = id
+	}
+	if r.after > 0 {
+		h.Set("Retry-After", seconds(spread(r.after)))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(r.status)
+	_, _ = io.WriteString(w, r.reason+"\n")
+}
+
+// rejectionOf maps the ways a request can end without an answer. Statuses
+// that promise "not run" are kept for requests that have not run.
+func rejectionOf(err error) *rejection {
+	var r *rejection
+	var f *door.Refusal
+	var u *call.Unknown
+	var b *call.BadBody
+	switch {
+	case errors.As(err, &r):
+		return r
+	case errors.As(err, &f):
+		after := f.After
+		if after <= 0 {
+			after = returnUnknown
+		}
+		return &rejection{http.StatusServiceUnavailable, string(f.Reason), after}
+	case errors.As(err, &b) && b.Late:
+		return &rejection{http.StatusRequestTimeout, "BodyLate", 0}
+	case errors.As(err, &b):
+		return &rejection{http.StatusBadRequest, "BodyIncomplete", 0}
+	case errors.As(err, &u) && errors.Is(u, context.DeadlineExceeded):
+		return &rejection{http.StatusGatewayTimeout, u.Reason, 0}
+	default:
+		return &rejection{http.StatusBadGateway, err.Error(), 0}
+	}
+}
+
+func (s *callers) setClosing(h http.Header) {
+	if s.closing() {
+		h.Set("Connection", "close")
+	}
+}
+
+// spread moves a time by a random part, so that callers come back one by one.
+func spread(d time.Duration) time.Duration {
+	d = min(max(d, returnFirst), returnLast)
+	return time.Duration(float64(d) * (1 + returnSpread*(2*rand.Float64()-1)))
+}
+
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- /dev/null
+++ b/internal/sidecar/dispatch.go
@@ -0,0 +1,267 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/door"
+)
+
+const (
+	// doorsAsked is the number of doors that are asked for a free slot before
+	// one is asked for a place in its queue. An answer takes about 2 ms.
+	doorsAsked = 3
+	// sendsMost bounds the doors that one request is sent to in all.
+	sendsMost = 8
+	// defaultAttempts is the number of instances for a route without one.
+	defaultAttempts = 2
+	// leastLeft is the time below which a request is not sent on.
+	leastLeft = 5 * time.Millisecond
+)
+
+// A dispatcher has requests run at instances of their service.
+type dispatcher struct {
+	names   *Headers
+	chooser *balance.Chooser
+	budget  *balance.RetryBudget
+	local   *local
+	peers   *peers
+	now     func() time.Time
+	// self is the address at which other nodes reach this one.
+	self string
+	// pickService chooses one of a route's services by weight.
+	pickService func(j *job) string
+}
+
+// do has a request run and returns the answer, whose body is whole or streams.
+// The error is a *door.Refusal if no instance has run the request, else a
+// *call.Unknown.
+func (d *dispatcher) do(ctx context.Context, j *job) (*http.Response, error) {
+	t := &trial{d: d, j: j, service: d.pickService(j)}
+	if !j.nested {
+		d.budget.Earned(t.service)
+	}
+	for {
+		a, err := t.next(ctx)
+		if err == nil {
+			return a, nil
+		}
+		if !t.again(ctx, err) {
+			return t.end(err)
+		}
+	}
+}
+
+// A trial is the course of one request over doors and instances.
+type trial struct {
+	d       *dispatcher
+	j       *job
+	service string
+	// tried holds the hosts that are not asked again.
+	tried []string
+	// sends counts requests to doors, runs those that reached an instance.
+	sends, runs int
+	// unknown is set once an instance may have run the request, failed once
+	// one has run it and answered with a failure.
+	unknown *call.Unknown
+	failed  *http.Response
+	// soonest is the least time after which a refusing door may have room.
+	soonest time.Duration
+	// queued is set once a place in a queue was asked for.
+	queued bool
+}
+
+// notExecuted is the reason of a request that instances refused to run.
+const notExecuted door.Reason = "NotExecuted"
+
+// errNoTarget ends a trial for which no host is left.
+var errNoTarget = &door.Refusal{Reason: door.Unreachable}
+
+// A failedAnswer is an instance's answer that another instance may better.
+type failedAnswer struct {
+	answer *http.Response
+	// notRun states that the instance did not run the request.
+	notRun bool
+}
+
+// Error implements error.
+func (f *failedAnswer) Error() string { return "status " + http.StatusText(f.answer.StatusCode) }
+
+// next sends the request to one more host.
+func (t *trial) next(ctx context.Context) (*http.Response, error) {
+	d, j := t.d, t.j
+	to, ok := d.chooser.Pick(t.service, t.tried)
+	if !ok && !t.queued && len(t.tried) > 0 && t.soonest > 0 {
+		// All doors are full; the best of them may have a place to wait.
+		t.tried = nil
+		to, ok = d.chooser.Pick(t.service, nil)
+		t.queued = true
+	}
+	if !ok {
+		return nil, errNoTarget
+	}
+	t.sends++
+	r := &Request{
+		In: j.in, Header: j.header, Body: j.body.Next(), Length: j.in.ContentLength,
+		Instance: to.ID, Deadline: j.deadline, Priority: j.priority, Nested: j.nested, Repeatable: j.repeatable,
+		NoWait: !t.queued && t.sends < doorsAsked,
+	}
+	t.queued = t.queued || !r.NoWait
+	t.tried = append(t.tried, to.ID)
+	d.chooser.Started(to.ID)
+	began := d.now()
+	a, l, err := d.send(ctx, to, r)
+	if err == nil {
+		a, err = t.judge(a)
+	}
+	d.chooser.Finished(to.ID, t.result(ctx, err), l)
+	if err == nil && a.StatusCode < http.StatusInternalServerError {
+		d.chooser.Observed(to.ID, d.now().Sub(began))
+	}
+	return a, err
+}
+
+func (d *dispatcher) send(ctx context.Context, to balance.Target, r *Request) (*http.Response, balance.Load, error) {
+	if to.CallAddress != d.self {
+		return d.peers.do(ctx, to.CallAddress, r)
+	}
+	a, err := d.local.do(ctx, r)
+	l := d.local.door.Load()
+	return a, balance.Load{Running: l.Running, Permits: l.Permits, Queued: l.Queued}, err
+}
+
+// judge reads a short answer whole, and tells failures that another instance
+// may not have.
+func (t *trial) judge(a *http.Response) (*http.Response, error) {
+	notRun := a.Header.Get(t.d.names.NotExecuted) != "" || a.StatusCode == http.StatusMisdirectedRequest
+	if a.ContentLength <= keepAnswerBytes {
+		if err := keep(a); err != nil {
+			return nil, err
+		}
+	}
+	if notRun || a.StatusCode >= http.StatusInternalServerError {
+		return nil, &failedAnswer{a, notRun}
+	}
+	return a, nil
+}
+
+// keep reads an answer into memory, up to keepAnswerBytes.
+func keep(a *http.Response) error {
+	var b bytes.Buffer
+	if a.ContentLength > 0 {
+		b.Grow(int(a.ContentLength))
+	}
+	n, err := io.CopyN(&b, a.Body, keepAnswerBytes+1)
+	switch {
+	case err == nil && n > keepAnswerBytes:
+		a.Body = &joined{io.MultiReader(&b, a.Body), a.Body}
+		return nil
+	case err == nil || errors.Is(err, io.EOF):
+		_ = a.Body.Close()
+		a.Body, a.ContentLength = io.NopCloser(&b), n
+		return nil
+	}
+	_ = a.Body.Close()
+	return &call.Unknown{Reason: "the answer broke off", Cause: err}
+}
+
+// joined is the kept start of a body followed by its rest.
+type joined struct {
+	io.Reader
+	rest io.Closer
+}
+
+// Close implements io.Closer.
+func (j *joined) Close() error { return j.rest.Close() }
+
+// again records how a try ended and decides whether another may follow.
+func (t *trial) again(ctx context.Context, err error) bool {
+	left := t.j.deadline.Sub(t.d.now())
+	more := ctx.Err() == nil && left > leastLeft && t.sends < sendsMost
+	var f *door.Refusal
+	if errors.As(err, &f) {
+		if f.After > 0 && (t.soonest == 0 || f.After < t.soonest) {
+			t.soonest = f.After
+		}
+		if err == errNoTarget || f.Reason == door.Late || f.Reason == door.Canceled {
+			return false
+		}
+		if f.Reason == door.Overloaded && t.queued {
+			return false
+		}
+		return more && t.j.body.CanRepeat()
+	}
+	t.runs++
+	var a *failedAnswer
+	if errors.As(err, &a) && a.notRun {
+		return more && t.mayRunAgain() && t.j.body.CanRepeat()
+	}
+	var u *call.Unknown
+	switch {
+	case a != nil:
+		t.failed = a.answer
+	case errors.As(err, &u):
+		t.unknown = u
+	}
+	return more && t.j.repeatable && t.mayRunAgain() && t.j.body.Kept()
+}
+
+// mayRunAgain reports whether one more instance may get the request.
+func (t *trial) mayRunAgain() bool {
+	most := t.j.route.Attempts
+	if most == 0 {
+		most = defaultAttempts
+	}
+	if t.runs >= most {
+		return false
+	}
+	if _, other := t.d.chooser.Pick(t.service, t.tried); !other {
+		return false
+	}
+	return t.d.budget.Allow(t.service, t.d.now())
+}
+
+// end returns what the caller gets in place of a good answer: the failure of an
+// instance that ran the request, else the error that tells whether one may
+// have.
+func (t *trial) end(err error) (*http.Response, error) {
+	var f *door.Refusal
+	switch {
+	case t.failed != nil:
+		return t.failed, nil
+	case t.unknown != nil:
+		return nil, t.unknown
+	case errors.As(err, &f):
+		return nil, &door.Refusal{Reason: f.Reason, After: max(f.After, t.soonest)}
+	}
+	return nil, &door.Refusal{Reason: notExecuted}
+}
+
+// result says what a try tells about the host.
+func (t *trial) result(ctx context.Context, err error) balance.Result {
+	var f *door.Refusal
+	var a *failedAnswer
+	switch {
+	case err == nil:
+		return balance.Good
+	case errors.Is(ctx.Err(), context.Canceled):
+		return balance.Canceled
+	case errors.As(err, &f) && f.Reason == door.Unreachable:
+		return balance.Failed
+	case errors.As(err, &f) && (f.Reason.Closed() || f.Reason == "BadHeader"):
+		return balance.Closed
+	case errors.As(err, &f):
+		return balance.NotRun
+	case errors.As(err, &a) && a.notRun:
+		return balance.NotRun
+	case errors.As(err, &a):
+		return balance.Failed
+	}
+	return balance.Failed
+}
--- /dev/null
+++ b/internal/sidecar/headers.go
@@ -0,0 +1,32 @@
+package sidecar
+
+// Headers names the headers that callers and backend servers of a deployment
+// use. Each name is in canonical form.
+type Headers struct {
+	// RequestID names one try of a caller. Backend servers echo it.
+	RequestID string
+	// TimeLeft is the milliseconds for which the sender still waits.
+	TimeLeft string
+	// Key is the caller's key and nothing else. It goes no further than the
+	// node that reads it.
+	Key string
+	// Account is the name of the client account that holds the key, set by
+	// the node.
+	Account string
+	// CallerService is the service beside whose backend server the request
+	// began, set by the node.
+	CallerService string
+	// Expected is the ID of the instance that the request is meant for, set
+	// by the node. Any other instance refuses it.
+	Expected string
+	// NotExecuted marks an answer of a backend server that did not run the
+	// request.
+	NotExecuted string
+	// InstanceID is the ID that a backend server states in its health answer,
+	// and ColdLeft the milliseconds for which it stays cold.
+	InstanceID string
+	ColdLeft   string
+	// InstanceLoad is running, waiting and slots of a backend server,
+	// separated by commas.
+	InstanceLoad string
+}
--- /dev/null
+++ b/internal/sidecar/health.go
@@ -0,0 +1,136 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/door"
+)
+
+const (
+	// healthEvery is the pause between two questions to the local server. It
+	// may become cold at any moment without any other sign.
+	healthEvery = time.Second
+	// healthSoon is the pause while the server is unreachable, and the least
+	// pause between questions that a suspicion asks for.
+	healthSoon = 200 * time.Millisecond
+	// healthTimeout bounds one question. Under load it waits for a slot.
+	healthTimeout = 900 * time.Millisecond
+	// coldUnknown is how long a server is taken for cold while it has not said
+	// how long it stays so.
+	coldUnknown = 3 * time.Second
+)
+
+// watchHealth asks the local backend server whether it is cold, until ctx
+// ends.
+func (n *Node) watchHealth(ctx context.Context) {
+	for {
+		pause := healthEvery
+		if !n.askHealth(ctx) {
+			pause = healthSoon
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		case <-n.suspected:
+			t.Stop()
+			if !sleep(ctx, time.Millisecond) {
+				return
+			}
+		}
+	}
+}
+
+// askHealth asks once and reports whether the server was reached.
+func (n *Node) askHealth(ctx context.Context) bool {
+	s := n.ownService()
+	if s == nil || s.HealthPath == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	a, err := n.local.pool.Do(ctx, &http.Request{
+		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}},
+		URL: &url.URL{Scheme: "http", Host: n.settings().BackendAddress, Path: s.HealthPath},
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			n.setReachable(false)
+			return false
+		}
+		return true
+	}
+	_ = a.Body.Close()
+	n.setReachable(true)
+	n.learnCold(a.Header, s)
+	return true
+}
+
+// learnCold applies what a health answer says about the server's start.
+func (n *Node) learnCold(h http.Header, s *config.Service) {
+	if s.ColdPerSecond <= 0 {
+		n.door.SetCold(time.Time{}, 0)
+		return
+	}
+	left := h.Get(n.Headers.ColdLeft)
+	ms, err := strconv.ParseFloat(left, 64)
+	if left != "" && err != nil {
+		n.Log.Warn("unreadable cold time of the backend server", "value", left)
+		return
+	}
+	n.door.SetCold(time.Now().Add(time.Duration(ms*float64(time.Millisecond))), s.ColdPerSecond)
+}
+
+// suspectRestart takes the local server for cold until it says otherwise.
+func (n *Node) suspectRestart(reason string) {
+	if s := n.ownService(); s != nil && s.ColdPerSecond > 0 && !n.door.Cold() {
+		n.Log.Info("backend server may have been started anew", "reason", reason)
+		n.door.SetCold(time.Now().Add(coldUnknown), s.ColdPerSecond)
+	}
+	n.askSoon()
+}
+
+// askSoon has the server asked for its health at once.
+func (n *Node) askSoon() {
+	select {
+	case n.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// setReachable closes the door while the local server takes no connections.
+func (n *Node) setReachable(ok bool) {
+	if n.unreachable.Swap(!ok) == !ok {
+		return
+	}
+	n.Log.Info("backend server", "reachable", ok)
+	if !ok {
+		n.suspectRestart("no connection")
+	}
+	n.updateDoor()
+}
+
+// updateDoor opens or closes the door by what is known of the local instance.
+func (n *Node) updateDoor() {
+	v := n.directory.View()
+	i := v.ByAddress[n.settings().BackendAddress]
+	var r door.Reason
+	switch {
+	case n.doorClosed.Load():
+		r = door.Leaving
+	case i != nil && v.ZonesOut[i.Zone]:
+		r = door.ZoneOut
+	case i == nil || !v.Usable(i):
+		r = door.Draining
+	case n.unreachable.Load():
+		r = door.Unreachable
+	}
+	n.door.Close(r)
+}
--- /dev/null
+++ b/internal/sidecar/inbound.go
@@ -0,0 +1,71 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/peercall"
+	"quetzaldock.example/quetzaldock/pkg/door"
+)
+
+// writeGrace is how long after its deadline an answer may take to be written.
+const writeGrace = time.Second
+
+// inbound serves the requests of other nodes for the local backend server.
+type inbound struct {
+	names *Headers
+	local *local
+	now   func() time.Time
+}
+
+// ServeHTTP implements http.Handler.
+func (s *inbound) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	if in.Method == http.MethodOptions && in.RequestURI == "*" {
+		// A node asks whether the connection still carries bytes.
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	b := call.NewBody(w, in)
+	defer b.Release()
+	r, err := fromNode(in, s.names, s.now())
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	b.Limit(r.Deadline.Add(writeGrace))
+	_ = http.NewResponseController(w).SetWriteDeadline(r.Deadline.Add(writeGrace))
+	ctx, cancel := context.WithDeadline(in.Context(), r.Deadline)
+	defer cancel()
+	a, err := s.local.do(ctx, r)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	defer func() { _ = a.Body.Close() }()
+	writeLoad(a.Header, s.local.door.Load())
+	peercall.CopyAnswer(w, a)
+}
+
+// fail answers a request that brought no answer of the backend server.
+func (s *inbound) fail(w http.ResponseWriter, err error) {
+	h := w.Header()
+	writeLoad(h, s.local.door.Load())
+	var f *door.Refusal
+	var n *call.NotRun
+	switch {
+	case errors.As(err, &f):
+		h[call.HeaderNotRun] = []string{string(f.Reason)}
+		h[headerAfter] = []string{strconv.FormatInt(f.After.Milliseconds(), 10)}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case errors.As(err, &n):
+		h[call.HeaderNotRun] = []string{n.Reason}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		h[call.HeaderOutcome] = []string{err.Error()}
+		w.WriteHeader(http.StatusBadGateway)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/local.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/pkg/door"
+)
+
+// A local runs requests at the backend server of this host. Its fields are set
+// before first use.
+type local struct {
+	names *Headers
+	door  *door.Door
+	pool  *http1.Pool
+	log   *slog.Logger
+	now   func() time.Time
+	// instance returns the ID of the instance that has the backend server's
+	// address; empty if none is known.
+	instance func() string
+	// suspect is told that the server may have been started anew.
+	suspect func(reason string)
+	// unreachable is told that the server took no connection.
+	unreachable func()
+}
+
+// do runs a request and returns the server's answer; its body streams. The
+// error is a *door.Refusal if the request has not run and a *call.Unknown if
+// it may have.
+func (l *local) do(ctx context.Context, r *Request) (*http.Response, error) {
+	if id := l.instance(); id != r.Instance {
+		return nil, &door.Refusal{Reason: door.Draining}
+	}
+	p, err := l.door.Enter(ctx, door.Call{
+		Priority: r.Priority, Deadline: r.Deadline, NoWait: r.NoWait, Nested: r.Nested,
+	})
+	if err != nil {
+		return nil, err
+	}
+	left := r.Deadline.Sub(l.now())
+	if left < time.Millisecond {
+		p.Done(false)
+		return nil, &door.Refusal{Reason: door.Late}
+	}
+	h := make(http.Header, len(r.Header)+2)
+	for k, v := range r.Header {
+		h[k] = v
+	}
+	h[l.names.Expected] = []string{r.Instance}
+	h[l.names.TimeLeft] = []string{milliseconds(left)}
+	send := l.pool.DoOnce
+	if r.Repeatable {
+		send = l.pool.Do
+	}
+	a, err := send(ctx, r.outgoing(h))
+	if err != nil {
+		p.Done(false)
+		return nil, l.failure(ctx, err)
+	}
+	if err := l.check(a, r); err != nil {
+		_ = a.Body.Close()
+		p.Done(false)
+		return nil, err
+	}
+	call.StripHop(a.Header)
+	stripBetweenNodes(a.Header)
+	a.Body = &passBody{ReadCloser: a.Body, pass: p, ran: a.Header.Get(l.names.NotExecuted) == ""}
+	return a, nil
+}
+
+// check refuses an answer that belongs to another request or whose bytes are
+// not the server's own.
+func (l *local) check(a *http.Response, r *Request) error {
+	want := r.Header.Get(l.names.RequestID)
+	if got := a.Header.Get(l.names.RequestID); got != "" && got != want {
+		l.log.Warn("answer to another request", "request", want, "answer", got)
+		return &call.Unknown{Reason: "the answer belongs to another request"}
+	}
+	if a.Header.Get("Content-Encoding") != "" {
+		return &call.Unknown{Reason: "the answer is encoded unasked"}
+	}
+	return nil
+}
+
+// failure says what a failed exchange means for the request.
+func (l *local) failure(ctx context.Context, err error) error {
+	switch {
+	case errorx.IsOfType(err, http1.NotSent):
+		if ctx.Err() != nil {
+			return &door.Refusal{Reason: door.Canceled}
+		}
+		l.unreachable()
+		return &door.Refusal{Reason: door.Unreachable}
+	case ctx.Err() != nil:
+		return &call.Unknown{Reason: "no answer in time", Cause: context.Cause(ctx)}
+	case errorx.IsOfType(err, http1.Reset):
+		l.suspect("connection reset")
+	}
+	return &call.Unknown{Reason: "no whole answer from the backend server", Cause: err}
+}
+
+// A passBody gives the request's pass back when the answer ends.
+type passBody struct {
+	io.ReadCloser
+	pass *door.Pass
+	ran  bool
+	once sync.Once
+}
+
+// Read implements io.Reader.
+func (b *passBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.done(b.ran && errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *passBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.done(false)
+	return err
+}
+
+func (b *passBody) done(ran bool) { b.once.Do(func() { b.pass.Done(ran) }) }
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,305 @@
+// Package sidecar runs the process beside a backend server of a deployment
+// whose store can only be read and where nothing of the process outlives it.
+//
+// Each node is the only way to the backend server on its host. It follows the
+// store by itself, takes the requests that begin on its host, and sends each
+// to the node beside the instance that is to run it. What the deployment calls
+// things, the node learns from Headers and Source, which an adapter fills.
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/config"
+	"quetzaldock.example/quetzaldock/pkg/door"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/split"
+)
+
+const (
+	// tickEvery is the pause between two looks at what changes with time alone.
+	tickEvery = 250 * time.Millisecond
+	// idleToBackend bounds idle connections to the backend server.
+	idleToBackend = 32
+	// maxHeaderBytes bounds the header of one request.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the time in which a request's header arrives.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers without a request. Callers use
+	// connections that were idle for less.
+	idleTimeout = 60 * time.Second
+	// memoryPart is the part of the memory limit that the garbage collector
+	// keeps the process under.
+	memoryPart = 0.7
+)
+
+// A Node is one process of a deployment. Its exported fields are set before
+// Run.
+type Node struct {
+	Settings Settings
+	Bounds   Bounds
+	Headers  Headers
+	Source   Source
+	// ReadyPath is where the deployment asks whether callers may use the node.
+	ReadyPath string
+	Log       *slog.Logger
+	// Reload reads the settings again; nil keeps those of the start.
+	Reload func() (*Settings, error)
+
+	current   atomic.Pointer[Settings]
+	snapshot  atomic.Pointer[config.Snapshot]
+	directory *fleet.Directory
+	chooser   *balance.Chooser
+	budget    *balance.RetryBudget
+	quota     *split.Split
+	door      *door.Door
+	local     *local
+	peers     *peers
+	callers   *callers
+	splits    splitter
+
+	// listed is set once the store was read whole.
+	listed atomic.Bool
+	// storeDown is set while the store does not answer.
+	storeDown atomic.Bool
+	// unreachable is set while the backend server takes no connection.
+	unreachable atomic.Bool
+	// stopping is set by a planned stop, doorClosed some time after it.
+	stopping   atomic.Bool
+	doorClosed atomic.Bool
+	suspected  chan struct{}
+}
+
+// New returns a node for the settings.
+func New(s Settings) *Node {
+	l := new(slog.LevelVar)
+	_ = l.UnmarshalText([]byte(s.LogLevel))
+	n := &Node{
+		Settings: s, Bounds: DefaultBounds(), suspected: make(chan struct{}, 1),
+		Log: slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l})),
+	}
+	n.current.Store(&n.Settings)
+	return n
+}
+
+func (n *Node) settings() *Settings { return n.current.Load() }
+
+// Run serves until ctx ends and then stops gracefully: requests that run are
+// finished. It fails with ListenFailed.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(n.Settings.MemoryMB) * (1 << 20)))
+	n.build()
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var duties sync.WaitGroup
+	duties.Go(func() { n.follow(inner) })
+	duties.Go(func() { n.watchHealth(inner) })
+	duties.Go(func() { n.tick(inner) })
+	for _, s := range servers.all() {
+		duties.Go(func() { _ = s.server.Serve(s.listener) })
+	}
+	n.Log.Info("node started", "host", n.Settings.Host, "service", n.Settings.Service, "zone", n.Settings.Zone)
+	<-ctx.Done()
+	n.stop(servers)
+	cancel()
+	duties.Wait()
+	n.peers.pools.Close()
+	n.local.pool.Close()
+	n.Log.Info("node stopped")
+	return nil
+}
+
+func (n *Node) build() {
+	s := n.settings()
+	n.directory = fleet.New(n.Bounds.LapseGrace)
+	n.chooser = balance.New(s.Zone)
+	n.budget = balance.NewRetryBudget()
+	n.quota = split.New(split.Tolerance{Overage: n.Bounds.QuotaOverage, Slack: n.Bounds.QuotaSlack})
+	n.door = door.New()
+	n.door.Close(door.Draining)
+	n.peers = newPeers(&n.Headers, time.Now)
+	n.local = &local{
+		names: &n.Headers, door: n.door, log: n.Log, now: time.Now,
+		pool: &http1.Pool{
+			MaxIdle:    idleToBackend,
+			Dial:       func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
+			IdleClosed: func(int) { n.suspectRestart("idle connection closed") },
+		},
+		instance: n.localInstance, suspect: n.suspectRestart,
+		unreachable: func() { n.setReachable(false) },
+	}
+	d := &dispatcher{
+		names: &n.Headers, chooser: n.chooser, budget: n.budget, local: n.local, peers: n.peers,
+		now: time.Now, self: s.CallAddress, pickService: func(j *job) string { return n.splits.pick(j.route) },
+	}
+	n.callers = &callers{
+		names: &n.Headers, dispatch: d, quota: n.quota, log: n.Log, now: time.Now,
+		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
+		closing: n.stopping.Load, backend: n.backendIP, observe: func(Observation) {},
+	}
+}
+
+func (n *Node) backendIP() string {
+	a, err := netip.ParseAddrPort(n.settings().BackendAddress)
+	if err != nil {
+		return ""
+	}
+	return a.Addr().String()
+}
+
+// localInstance returns the ID of the instance at the backend server's
+// address.
+func (n *Node) localInstance() string {
+	if i := n.directory.View().ByAddress[n.settings().BackendAddress]; i != nil {
+		return i.ID
+	}
+	return ""
+}
+
+// ownService returns the configuration of the local backend server's service.
+func (n *Node) ownService() *config.Service {
+	if v := n.snapshot.Load(); v != nil {
+		return v.Services[n.settings().Service]
+	}
+	return nil
+}
+
+// tick does what is due with time alone, until ctx ends.
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		changed := n.directory.Changed()
+		n.applyFleet()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-t.C:
+			n.directory.Tick()
+			n.peers.pools.Sweep(time.Now().Add(-idleFor))
+		}
+	}
+}
+
+// applyFleet hands what is known of the instances to those who decide by it.
+func (n *Node) applyFleet() {
+	v := n.directory.View()
+	n.chooser.Update(n.targets(v))
+	nodes := map[string]bool{}
+	for _, i := range v.Instances {
+		nodes[i.Address] = true
+	}
+	n.quota.SetNodes(len(nodes))
+	n.setBudget(len(nodes))
+	if i := v.ByAddress[n.settings().BackendAddress]; i != nil {
+		n.door.SetSlots(i.Slots)
+	}
+	n.updateDoor()
+}
+
+// targets lists the nodes beside the instances. All nodes take the requests of
+// others at the same port.
+func (n *Node) targets(v *fleet.View) []balance.Target {
+	_, port, _ := net.SplitHostPort(n.settings().CallAddress)
+	all := make([]balance.Target, 0, len(v.Instances))
+	for _, i := range v.Instances {
+		host, _, err := net.SplitHostPort(i.Address)
+		if err != nil {
+			n.Log.Warn("instance with an unreadable address", "instance", i.ID, "address", i.Address)
+			continue
+		}
+		all = append(all, balance.Target{
+			ID: i.ID, Service: i.Service, Zone: i.Zone, CallAddress: net.JoinHostPort(host, port),
+			Out: v.ZonesOut[i.Zone], Leaving: i.State != fleet.Ready, Permits: i.Slots,
+		})
+	}
+	return all
+}
+
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// A served is one listener and what serves it.
+type served struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// servers holds the listeners of a node.
+type servers struct {
+	callers, nodes, ready served
+}
+
+func (s *servers) all() []served { return []served{s.callers, s.nodes, s.ready} }
+
+// listen binds all addresses.
+func (n *Node) listen() (*servers, error) {
+	s := n.settings()
+	v := &servers{}
+	inbound := &inbound{names: &n.Headers, local: n.local, now: time.Now}
+	for _, l := range []struct {
+		to      *served
+		address string
+		handler http.Handler
+	}{
+		{&v.ready, s.ReadyAddress, http.HandlerFunc(n.serveReady)},
+		{&v.nodes, s.CallAddress, inbound},
+		{&v.callers, s.CallerAddress, n.callers},
+	} {
+		b, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, o := range v.all() {
+				if o.listener != nil {
+					_ = o.listener.Close()
+				}
+			}
+			return nil, ListenFailed.Wrap(err, "cannot listen on %s", l.address)
+		}
+		*l.to = served{&http.Server{
+			Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		}, b}
+	}
+	return v, nil
+}
+
+// serveReady tells the platform whether callers may use this node.
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != n.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if n.stopping.Load() || n.snapshot.Load() == nil || !n.listed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/peers.go
@@ -0,0 +1,145 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/internal/peercall"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/door"
+)
+
+const (
+	// dialTimeout bounds a connection attempt to another node, a hundred round
+	// trips between zones.
+	dialTimeout = 300 * time.Millisecond
+	// unackedLimit is how long sent bytes may go unacknowledged before the
+	// connection is given up: a host without power answers nothing.
+	unackedLimit = 800 * time.Millisecond
+	// idlePerNode bounds the idle connections kept to one node.
+	idlePerNode = 16
+	// idleFor is how long an unused connection between nodes is kept.
+	idleFor = 20 * time.Second
+	// refusalBytes bounds what is read of a refusal's text.
+	refusalBytes = 1 << 10
+)
+
+// DialTCP opens a connection that fails soon after its peer has vanished.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Peers sends requests to the nodes beside other instances.
+type peers struct {
+	names *Headers
+	pools http1.Set[string]
+	now   func() time.Time
+}
+
+func newPeers(names *Headers, now func() time.Time) *peers {
+	p := &peers{names: names, now: now}
+	p.pools.Open = func(address string) *http1.Pool {
+		return &http1.Pool{
+			MaxIdle: idlePerNode, Probe: true,
+			Dial: func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, address) },
+		}
+	}
+	return p
+}
+
+// do sends a request to the node at the address. Its errors are those of
+// local.do, and a *door.Refusal of the reason Unreachable if nothing was sent.
+func (p *peers) do(ctx context.Context, address string, r *Request) (*http.Response, balance.Load, error) {
+	pool := p.pools.Pool(address)
+	send := pool.DoOnce
+	if r.Repeatable {
+		send = pool.Do
+	}
+	a, err := send(ctx, r.outgoing(r.toNode(p.names, p.now())))
+	if err != nil {
+		return nil, balance.Load{}, p.failure(ctx, pool, err)
+	}
+	l, ok := parseLoad(a.Header.Get(call.HeaderLoad))
+	if !ok {
+		_ = a.Body.Close()
+		return nil, l, &call.Unknown{Reason: "status " + strconv.Itoa(a.StatusCode) + " is not the answer of a node"}
+	}
+	if err := refused(a); err != nil {
+		peercall.Drain(a, refusalBytes)
+		return nil, l, err
+	}
+	call.StripHop(a.Header)
+	stripBetweenNodes(a.Header)
+	return a, l, nil
+}
+
+func (p *peers) failure(ctx context.Context, pool *http1.Pool, err error) error {
+	switch {
+	case errorx.IsOfType(err, http1.NotSent):
+		if ctx.Err() != nil {
+			return &door.Refusal{Reason: door.Canceled}
+		}
+		return &door.Refusal{Reason: door.Unreachable}
+	case ctx.Err() != nil:
+		return &call.Unknown{Reason: "no answer in time", Cause: context.Cause(ctx)}
+	}
+	pool.Drop()
+	return &call.Unknown{Reason: "the connection to the node broke", Cause: err}
+}
+
+// refused turns a node's own answer into its error, nil for an answer of the
+// backend server.
+func refused(a *http.Response) error {
+	if reason := a.Header.Get(call.HeaderNotRun); reason != "" {
+		ms, _ := strconv.Atoi(a.Header.Get(headerAfter))
+		return &door.Refusal{Reason: door.Reason(reason), After: time.Duration(ms) * time.Millisecond}
+	}
+	if reason := a.Header.Get(call.HeaderOutcome); reason != "" {
+		return &call.Unknown{Reason: reason}
+	}
+	return nil
+}
+
+// writeLoad states how busy the door is, in each answer to a node.
+func writeLoad(h http.Header, l door.Load) {
+	h[call.HeaderLoad] = []string{strconv.Itoa(l.Running) + "/" + strconv.Itoa(l.Permits) + "/" + strconv.Itoa(l.Queued)}
+}
+
+func parseLoad(v string) (balance.Load, bool) {
+	running, rest, _ := strings.Cut(v, "/")
+	permits, queued, _ := strings.Cut(rest, "/")
+	var l balance.Load
+	for _, f := range []struct {
+		to   *int
+		from string
+	}{{&l.Running, running}, {&l.Permits, permits}, {&l.Queued, queued}} {
+		n, err := strconv.Atoi(f.from)
+		if err != nil || n < 0 {
+			return balance.Load{}, false
+		}
+		*f.to = n
+	}
+	return l, true
+}
--- /dev/null
+++ b/internal/sidecar/request.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/call"
+)
+
+// A Request is one request on its way to one instance. The node beside that
+// instance receives what the node of the caller has made of it.
+type Request struct {
+	// In is the request as it came; its header is not changed.
+	In *http.Request
+	// Header is what is passed on.
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64
+	// Instance is the ID of the instance that is to run the request.
+	Instance string
+	Deadline time.Time
+	// Priority ranks the request, 0 first.
+	Priority int
+	// NoWait asks for a refusal in place of a place in the queue.
+	NoWait bool
+	// Nested: the request was made by a backend server for one that it runs.
+	Nested bool
+	// Repeatable requests may run more than once.
+	Repeatable bool
+}
+
+// The headers between nodes, besides those of package call.
+const (
+	headerPriority = call.HeaderPrefix + "Priority"
+	headerNoWait   = call.HeaderPrefix + "No-Wait"
+	headerNested   = call.HeaderPrefix + "Nested"
+	headerRepeat   = call.HeaderPrefix + "Repeatable"
+	// headerAfter is the milliseconds after which a refused request may find
+	// room.
+	headerAfter = call.HeaderPrefix + "After-Ms"
+	headerSet   = "1"
+)
+
+// betweenNodes lists the headers that only nodes set. What callers and backend
+// servers send under these names is dropped.
+var betweenNodes = []string{
+	headerPriority, headerNoWait, headerNested, headerRepeat, headerAfter,
+	call.HeaderNotRun, call.HeaderOutcome, call.HeaderLoad,
+}
+
+func stripBetweenNodes(h http.Header) {
+	for _, k := range betweenNodes {
+		delete(h, k)
+	}
+}
+
+// passedOn returns the headers of a caller's request that are passed on, with
+// room for n more.
+func passedOn(h http.Header, n int, names *Headers) http.Header {
+	out := make(http.Header, len(h)+n)
+	for k, v := range h {
+		out[k] = v
+	}
+	call.StripHop(out)
+	stripBetweenNodes(out)
+	for _, k := range []string{names.Key, names.Account, names.Expected, names.CallerService} {
+		delete(out, k)
+	}
+	if _, ok := out["User-Agent"]; !ok {
+		// Without the header net/http would send its own name.
+		out["User-Agent"] = []string{""}
+	}
+	return out
+}
+
+// outgoing returns the request to send. The target is passed on byte by byte.
+func (r *Request) outgoing(header http.Header) *http.Request {
+	return &http.Request{
+		Method: r.In.Method, Host: r.In.Host, Header: header, Body: r.Body, ContentLength: r.Length,
+		URL: &url.URL{Scheme: "http", Host: r.In.Host, Opaque: target(r.In)},
+	}
+}
+
+// target returns the path and query of a request as they were sent.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// path returns the escaped path of a request as it was sent.
+func path(r *http.Request) string {
+	p, _, _ := strings.Cut(target(r), "?")
+	return p
+}
+
+// toNode returns the headers of the request to another node.
+func (r *Request) toNode(names *Headers, now time.Time) http.Header {
+	h := make(http.Header, len(r.Header)+6)
+	for k, v := range r.Header {
+		h[k] = v
+	}
+	h[names.Expected] = []string{r.Instance}
+	h[names.TimeLeft] = []string{milliseconds(r.Deadline.Sub(now))}
+	h[headerPriority] = []string{strconv.Itoa(r.Priority)}
+	for _, f := range []struct {
+		name string
+		set  bool
+	}{{headerNoWait, r.NoWait}, {headerNested, r.Nested}, {headerRepeat, r.Repeatable}} {
+		if f.set {
+			h[f.name] = []string{headerSet}
+		}
+	}
+	return h
+}
+
+// fromNode reads a request that another node sent.
+func fromNode(in *http.Request, names *Headers, now time.Time) (*Request, error) {
+	left, err := strconv.ParseInt(in.Header.Get(names.TimeLeft), 10, 32)
+	if err != nil || left < 0 {
+		return nil, &call.NotRun{Reason: "BadHeader"}
+	}
+	priority, err := strconv.Atoi(in.Header.Get(headerPriority))
+	if err != nil {
+		return nil, &call.NotRun{Reason: "BadHeader"}
+	}
+	r := &Request{
+		In: in, Body: in.Body, Length: in.ContentLength,
+		Instance: in.Header.Get(names.Expected), Priority: priority,
+		Deadline: now.Add(time.Duration(left) * time.Millisecond),
+		NoWait:   in.Header.Get(headerNoWait) != "", Nested: in.Header.Get(headerNested) != "",
+		Repeatable: in.Header.Get(headerRepeat) != "",
+	}
+	r.Header = make(http.Header, len(in.Header))
+	for k, v := range in.Header {
+		r.Header[k] = v
+	}
+	call.StripHop(r.Header)
+	stripBetweenNodes(r.Header)
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = []string{""}
+	}
+	return r, nil
+}
+
+// milliseconds writes what is left of a time, whole milliseconds rounded down.
+func milliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(0, d.Milliseconds()), 10)
+}
--- /dev/null
+++ b/internal/sidecar/settings.go
@@ -0,0 +1,192 @@
+package sidecar
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/pelletier/go-toml/v2"
+)
+
+var namespace = errorx.NewNamespace("sidecar")
+
+var (
+	// BadSettings means that the settings cannot be used; its message lists
+	// every fault with its key.
+	BadSettings = namespace.NewType("bad_settings")
+	// ListenFailed means that an address could not be bound.
+	ListenFailed = namespace.NewType("listen_failed")
+)
+
+// settingsBytes bounds the size of a settings file.
+const settingsBytes = 64 << 10
+
+// Settings configure one node beside a backend server of a deployment whose
+// store is only read. They are read at the start and again on SIGHUP.
+type Settings struct {
+	// Host names this host in logs.
+	Host string
+	// Service is the service of the backend server on this host, and so the
+	// one in whose name requests of this host are made.
+	Service string
+	Zone    string
+	// CallerAddress takes requests of callers and of the local backend server.
+	CallerAddress string
+	// CallAddress takes requests of other nodes for the local backend server.
+	CallAddress string
+	// ReadyAddress answers whether callers may use this node.
+	ReadyAddress string
+	// ControlAddress takes control messages of other nodes. Its port is the
+	// same on all hosts, like that of CallAddress.
+	ControlAddress string
+	// BackendAddress is the backend server on this host.
+	BackendAddress string
+	// PlatformURL is the store that publishes configuration and instances.
+	PlatformURL string
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB int
+	// LogLevel is Debug, Info, Warn or Error.
+	LogLevel string
+	// Bounds are the bounds that the deployment states, in its own words:
+	// numbers, true or false by name.
+	Bounds map[string]any
+}
+
+// Bounds are the limits in time and number that a deployment states.
+type Bounds struct {
+	// Apply is the time within which an accepted configuration is in force.
+	Apply time.Duration
+	// Drain is the time within which a leaving instance gets nothing new.
+	Drain time.Duration
+	// Stop is the time after which a process that was asked to stop is killed.
+	Stop time.Duration
+	// RetryRatio of the requests for a service, and RetryExtra more, may be
+	// repeats within RetryWindow, over the whole fleet.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// QuotaOverage is the part by which a client account may exceed its limit
+	// over the whole fleet within QuotaWindow, besides QuotaSlack requests.
+	QuotaOverage float64
+	QuotaSlack   float64
+	QuotaWindow  time.Duration
+	// LapseGrace is how long entries that lapsed in an outage of the store may
+	// take to come back.
+	LapseGrace time.Duration
+}
+
+// DefaultBounds hold where a deployment states none.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Apply: 2 * time.Second, Drain: 2 * time.Second, Stop: 6 * time.Second,
+		RetryRatio: 0.2, RetryExtra: 62, RetryWindow: 10 * time.Second,
+		QuotaOverage: 0.25, QuotaSlack: 20, QuotaWindow: 5 * time.Second,
+		LapseGrace: 2 * time.Second,
+	}
+}
+
+// A Fault is one problem of the settings.
+type Fault struct {
+	Key    string
+	Reason string
+}
+
+// Faults lists every problem of a settings file.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	all := make([]string, len(f))
+	for i, x := range f {
+		all[i] = x.Key + ": " + x.Reason
+	}
+	return strings.Join(all, "; ")
+}
+
+// ReadSettings reads and checks a settings file. The error is of type
+// BadSettings and lists all faults.
+func ReadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, BadSettings.Wrap(err, "cannot read the settings")
+	}
+	return ParseSettings(b)
+}
+
+// ParseSettings checks settings in TOML. Unknown keys are faults.
+func ParseSettings(b []byte) (*Settings, error) {
+	if len(b) > settingsBytes {
+		return nil, BadSettings.New("settings are larger than %d bytes", settingsBytes)
+	}
+	s := &Settings{LogLevel: "Info", MemoryMB: 128}
+	var f Faults
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		var strict *toml.StrictMissingError
+		if !errors.As(err, &strict) {
+			return nil, BadSettings.Wrap(err, "settings are not valid TOML for their keys")
+		}
+		for i := range strict.Errors {
+			f = append(f, Fault{strings.Join(strict.Errors[i].Key(), "."), "unknown key"})
+		}
+	}
+	if f = append(f, s.Check()...); len(f) > 0 {
+		return nil, BadSettings.Wrap(f, "%d faults", len(f))
+	}
+	return s, nil
+}
+
+// Check returns every fault of the settings.
+func (s *Settings) Check() Faults {
+	var f Faults
+	for _, n := range []struct{ key, value string }{{"Host", s.Host}, {"Service", s.Service}, {"Zone", s.Zone}} {
+		if strings.TrimSpace(n.value) == "" {
+			f = append(f, Fault{n.key, "must not be empty"})
+		}
+	}
+	f = append(f, s.checkAddresses()...)
+	if err := new(slog.LevelVar).UnmarshalText([]byte(s.LogLevel)); err != nil {
+		f = append(f, Fault{"LogLevel", "must be Debug, Info, Warn or Error"})
+	}
+	if s.MemoryMB < minMemoryMB {
+		f = append(f, Fault{"MemoryMB", fmt.Sprintf("must be at least %d", minMemoryMB)})
+	}
+	return f
+}
+
+// minMemoryMB is what a node needs to start and apply a configuration.
+const minMemoryMB = 32
+
+func (s *Settings) checkAddresses() Faults {
+	var f Faults
+	seen := map[string]string{}
+	for _, a := range []struct{ key, value string }{
+		{"CallerAddress", s.CallerAddress},
+		{"CallAddress", s.CallAddress},
+		{"ReadyAddress", s.ReadyAddress},
+		{"ControlAddress", s.ControlAddress},
+		{"BackendAddress", s.BackendAddress},
+	} {
+		p, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			f = append(f, Fault{a.key, "must be an IP address and port, such as 10.0.0.7:8443"})
+			continue
+		}
+		if other := seen[a.value]; other != "" && p.Port() != 0 {
+			f = append(f, Fault{a.key, "is the same as " + other})
+		}
+		seen[a.value] = a.key
+	}
+	u, err := url.Parse(s.PlatformURL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		f = append(f, Fault{"PlatformURL", "must be an http or https URL"})
+	}
+	return f
+}
--- /dev/null
+++ b/internal/sidecar/splits.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+
+	"quetzaldock.example/quetzaldock/pkg/config"
+)
+
+// goldenStep spreads the points of a sequence evenly over 0 to 1: each new one
+// falls into a largest gap.
+var goldenStep = math.Phi - 1
+
+// A splitter divides the requests of routes over their services by weight.
+// The choice does not depend on how busy a service is: what one cannot take is
+// refused, not moved to another.
+type splitter struct {
+	mu     sync.Mutex
+	points map[string]float64
+}
+
+// pick returns the service of the route's next request.
+func (s *splitter) pick(r *config.Route) string {
+	if len(r.Splits) == 0 {
+		return r.Service
+	}
+	total := 0
+	for _, t := range r.Splits {
+		total += t.Weight
+	}
+	at := s.point(r.VirtualHost+r.Prefix) * float64(total)
+	for _, t := range r.Splits {
+		if at -= float64(t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
+
+// point returns the route's next point from 0 to 1.
+func (s *splitter) point(route string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.points == nil {
+		s.points = map[string]float64{}
+	}
+	p, ok := s.points[route]
+	if !ok {
+		p = rand.Float64()
+	}
+	_, p = math.Modf(p + goldenStep)
+	s.points[route] = p
+	return p
+}
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -239,3 +239,20 @@
 		c.eject(p, now)
 	}
 }
+
+// latencyWeight is the weight of a new latency in a host's moving average.
+const latencyWeight = 1.0 / 16
+
+// Observed records how long a good answer of the host took.
+func (c *Chooser) Observed(id string, latency time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[id]
+	switch {
+	case p == nil:
+	case p.latency == 0:
+		p.latency = latency
+	default:
+		p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
+	}
+}
--- a/pkg/balance/retry.go
+++ b/pkg/balance/retry.go
@@ -8,7 +8,8 @@
 // MaxAttempts is the largest number of attempts for one call at one node.
 const MaxAttempts = 3
 
-// maxTokens bounds the retries that may follow each other at once.
+// maxTokens bounds the retries that may follow each other at once, unless
+// SetMost changes it.
 const maxTokens = 10
 
 // A RetryBudget limits the retries of each service to a share of its calls.
@@ -17,11 +18,12 @@
 	mu      sync.Mutex
 	percent map[string]float64
 	tokens  map[string]float64
+	most    float64
 }
 
 // NewRetryBudget returns a budget that allows no retry until Configure.
 func NewRetryBudget() *RetryBudget {
-	return &RetryBudget{percent: map[string]float64{}, tokens: map[string]float64{}}
+	return &RetryBudget{percent: map[string]float64{}, tokens: map[string]float64{}, most: maxTokens}
 }
 
 // Configure sets the retries of a service in percent of its calls.
@@ -30,18 +32,29 @@
 	defer b.mu.Unlock()
 	b.percent[service] = float64(percent)
 	if _, ok := b.tokens[service]; !ok {
-		b.tokens[service] = maxTokens
+		b.tokens[service] = b.most
 	}
 	if percent <= 0 {
 		b.tokens[service] = 0
 	}
 }
 
+// SetMost bounds the retries that may follow each other at once. A fleet that
+// shares a budget divides it over its nodes.
+func (b *RetryBudget) SetMost(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = n
+	for s, t := range b.tokens {
+		b.tokens[s] = min(t, n)
+	}
+}
+
 // Earned records a call of the service; retries are not counted.
 func (b *RetryBudget) Earned(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(maxTokens, b.tokens[service]+b.percent[service]/100)
+	b.tokens[service] = min(b.most, b.tokens[service]+b.percent[service]/100)
 }
 
 // Allow takes one retry from the service's budget.
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -13,6 +13,9 @@
 	CallAddress string
 	// Out: the configuration takes the host or its zone out of service.
 	Out bool
+	// Permits is the number of calls the host runs at once, as far as that was
+	// published; zero if it was not.
+	Permits int
 	// Leaving: the platform's list says that the host is leaving.
 	Leaving bool
 }
@@ -59,12 +62,17 @@
 	closedUntil time.Time
 	// rampFrom is the time at which the host returned; zero means long ago.
 	rampFrom time.Time
+	// latency is the moving average of good answers, zero before the first.
+	latency time.Duration
 }
 
 // permits returns the host's concurrency limit; an unknown one is small.
 func (p *peer) permits() float64 {
-	if p.load.Permits > 0 {
+	switch {
+	case p.load.Permits > 0:
 		return float64(p.load.Permits)
+	case p.Permits > 0:
+		return float64(p.Permits)
 	}
 	return unknownPermits
 }
--- a/pkg/config/accept.go
+++ b/pkg/config/accept.go
@@ -15,7 +15,9 @@
 	whole bool
 	// defaultsIn is the name of the part that has the defaults.
 	defaultsIn string
-	snapshot   *Snapshot
+	// limitsIn is the name of the part that has the caller limits.
+	limitsIn string
+	snapshot *Snapshot
 	// live is filled by checkExceptions.
 	live []liveException
 }
@@ -36,6 +38,27 @@
 	}
 	d.faults.Manifest, d.snapshot.Version = m, m.Version
 	d.decode(m, manifest, parts)
+	return d.judge(m)
+}
+
+// assembledPart is the name of the only part of an assembled version.
+const assembledPart = "document"
+
+// Assemble judges a version that came as one document instead of a manifest
+// and its parts. The document must not be changed afterwards. The error is a
+// *Faults.
+func Assemble(version uint64, doc Document) (*Snapshot, error) {
+	m := &Manifest{Version: version, Parts: []PartRef{{Name: assembledPart}}}
+	d := &draft{faults: &Faults{Manifest: m}, whole: true, snapshot: &Snapshot{Version: version}}
+	if version == 0 {
+		d.faults.add(ManifestPart, "Version", "must be at least 1")
+	}
+	d.parts = []draftPart{{name: assembledPart, doc: doc}}
+	return d.judge(m)
+}
+
+// judge merges the decoded parts and checks the whole.
+func (d *draft) judge(m *Manifest) (*Snapshot, error) {
 	d.collect()
 	if d.whole {
 		d.checkReferences()
@@ -105,6 +128,7 @@
 		d.collectHosts(p)
 		d.collectRoutes(p)
 		d.collectAccounts(p)
+		d.collectLimits(p)
 		s.Exceptions = append(s.Exceptions, p.doc.Exceptions...)
 	}
 	if d.whole && d.defaultsIn == "" {
@@ -149,6 +173,7 @@
 		s := &p.doc.Services[i]
 		key := entry("Services", s.Name, i)
 		checkIdentifier(d.faults, p.name, key+".Name", s.Name)
+		checkService(d.faults, p.name, key, s)
 		addNamed(d.faults, p.name, key, d.snapshot.Services, s.Name, s)
 	}
 }
@@ -166,8 +191,9 @@
 	for i := range p.doc.Routes {
 		r := &p.doc.Routes[i]
 		key := entry("Routes", r.Prefix, i)
-		checkPrefix(d.faults, p.name, key+".Prefix", r.Prefix)
-		addNamed(d.faults, p.name, key, d.snapshot.routes, r.Prefix, r)
+		checkPrefix(d.faults, p.name, key+".Prefix", r)
+		checkRoute(d.faults, p.name, key, r)
+		addNamed(d.faults, p.name, key, d.snapshot.routes, r.key(), r)
 	}
 }
 
@@ -185,6 +211,27 @@
 	}
 }
 
+func (d *draft) collectLimits(p *draftPart) {
+	l := p.doc.CallerLimits
+	if l == nil {
+		return
+	}
+	if d.limitsIn != "" {
+		d.faults.add(p.name, "CallerLimits", "part %s has them already", d.limitsIn)
+		return
+	}
+	d.limitsIn = p.name
+	d.snapshot.CallerLimits = *l
+	for _, v := range []struct {
+		name  string
+		value int
+	}{{"HeaderBytes", l.HeaderBytes}, {"BodyBytes", l.BodyBytes}, {"HeaderMs", l.HeaderMs}, {"IdleMs", l.IdleMs}} {
+		if v.value < 0 {
+			d.faults.add(p.name, "CallerLimits."+v.name, "must not be negative")
+		}
+	}
+}
+
 func addNamed[T any](f *Faults, part, key string, to map[string]*T, name string, v *T) {
 	if to[name] != nil {
 		f.add(part, key, "the name occurs twice")
@@ -201,11 +248,15 @@
 		s.Routes = append(s.Routes, *r)
 	}
 	slices.SortFunc(s.Routes, func(a, b Route) int {
-		return cmp.Or(len(b.Prefix)-len(a.Prefix), cmp.Compare(a.Prefix, b.Prefix))
+		return cmp.Or(len(b.Prefix)-len(a.Prefix), cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(a.VirtualHost, b.VirtualHost))
 	})
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		s.routes[r.Prefix] = r
+		s.routes[r.key()] = r
+		if r.VirtualHost != "" {
+			s.indexVirtual(r)
+			continue
+		}
 		s.longestPrefix = max(s.longestPrefix, len(r.Prefix))
 	}
 	s.keys = make(map[uint64][]keyOwner)
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 )
 
 // Kinds of subject that a Change belongs to, in the order of Diff.
@@ -45,6 +46,7 @@
 	for _, s := range settings {
 		c.add(KindFleet, "", s.name, text(&s, &c.a.Defaults), text(&s, &c.b.Defaults))
 	}
+	c.compareLimits()
 	for _, name := range namesIn(c.a.Zones, c.b.Zones) {
 		c.add(KindZone, name, "zone", zoneText(c.a.Zones[name]), zoneText(c.b.Zones[name]))
 	}
@@ -87,6 +89,7 @@
 func (c *comparison) compareService(name string) {
 	before, after := c.a.Services[name], c.b.Services[name]
 	c.add(KindService, name, "service", presence(before != nil), presence(after != nil))
+	c.add(KindService, name, "servers", serviceText(before), serviceText(after))
 	for _, id := range namesIn(c.a.Hosts, c.b.Hosts) {
 		c.add(KindService, name, "host "+id, hostText(c.a.Hosts[id], name), hostText(c.b.Hosts[id], name))
 	}
@@ -104,6 +107,7 @@
 func (c *comparison) compareAccount(name string) {
 	before, after := c.a.Accounts[name], c.b.Accounts[name]
 	c.add(KindAccount, name, "account", presence(before != nil), presence(after != nil))
+	c.add(KindAccount, name, "priority", priorityText(before), priorityText(after))
 	c.compareKeys(name, before, after)
 	if before == nil || after == nil {
 		return
@@ -200,7 +204,7 @@
 
 // routeText describes a route from the view of one service.
 func routeText(r *Route, name string) string {
-	if r == nil || r.Service != name {
+	if r == nil || r.share(name) == "" {
 		return ""
 	}
 	t := "needs a key"
@@ -210,9 +214,64 @@
 	if r.Idempotent {
 		t += ", idempotent"
 	}
+	if r.Kind != "" {
+		t += ", " + string(r.Kind)
+	}
+	if s := r.share(name); s != wholeShare {
+		t += ", weight " + s
+	}
+	for _, n := range []struct {
+		name  string
+		value int
+	}{{"timeout", r.TimeoutMs}, {"objective", r.ObjectiveMs}} {
+		if n.value != 0 {
+			t += fmt.Sprintf(", %s %d ms", n.name, n.value)
+		}
+	}
+	if r.Priority != 0 {
+		t += fmt.Sprintf(", priority %d", r.Priority)
+	}
+	if r.Attempts != 0 {
+		t += fmt.Sprintf(", %d attempts", r.Attempts)
+	}
 	return t
 }
 
+func (c *comparison) compareLimits() {
+	a, b := c.a.CallerLimits, c.b.CallerLimits
+	for _, l := range []struct {
+		name          string
+		before, after int
+	}{
+		{"HeaderBytes", a.HeaderBytes, b.HeaderBytes}, {"BodyBytes", a.BodyBytes, b.BodyBytes},
+		{"HeaderMs", a.HeaderMs, b.HeaderMs}, {"IdleMs", a.IdleMs, b.IdleMs},
+	} {
+		c.add(KindFleet, "", "caller limit "+l.name, limitText(l.before), limitText(l.after))
+	}
+}
+
+func limitText(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
+func serviceText(s *Service) string {
+	if s == nil || *s == (Service{Name: s.Name}) {
+		return ""
+	}
+	return fmt.Sprintf("health %s, %d connections, cold for %d ms at %s a second",
+		s.HealthPath, s.MaxConnections, s.ColdMs, numeral(s.ColdPerSecond))
+}
+
+func priorityText(a *ClientAccount) string {
+	if a == nil || a.Priority == nil {
+		return ""
+	}
+	return strconv.Itoa(*a.Priority)
+}
+
 func service(out bool) string {
 	if out {
 		return "out of service"
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -44,6 +44,20 @@
 	Routes     []Route            `toml:",omitempty"`
 	Accounts   []ClientAccount    `toml:",omitempty"`
 	Exceptions []Exception        `toml:",omitempty"`
+	// CallerLimits is set in at most one part.
+	CallerLimits *CallerLimits `toml:",omitempty"`
+}
+
+// CallerLimits bound what a caller may send and how long it may take. A zero
+// sets no limit beyond the node's own.
+type CallerLimits struct {
+	// HeaderBytes and BodyBytes bound one request, in bytes.
+	HeaderBytes int `toml:",omitempty"`
+	BodyBytes   int `toml:",omitempty"`
+	// HeaderMs bounds the time a request's header may take, IdleMs the time a
+	// connection may stay without a request, in milliseconds.
+	HeaderMs int `toml:",omitempty"`
+	IdleMs   int `toml:",omitempty"`
 }
 
 // An AvailabilityZone is a group of hosts that can fail or be taken out
@@ -58,6 +72,39 @@
 // A Service is a set of interchangeable backend servers.
 type Service struct {
 	Name string
+	// HealthPath is where a backend server answers about its health; empty
+	// means that it is not asked.
+	HealthPath string `toml:",omitempty"`
+	// MaxConnections is what one backend server accepts from all nodes
+	// together; zero means unknown.
+	MaxConnections int `toml:",omitempty"`
+	// ColdPerSecond is the requests per second that a cold backend server
+	// bears; zero means that a cold server bears as much as a warm one.
+	ColdPerSecond float64 `toml:",omitempty"`
+	// ColdMs is how long, in milliseconds, a server stays cold after a start.
+	ColdMs int `toml:",omitempty"`
+}
+
+// A Kind says how the requests of a route may be treated.
+type Kind string
+
+// The kinds of a route. The empty kind leaves it to the request's method and
+// Route.Idempotent whether a request may be repeated.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "Safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "Unsafe"
+	// Download requests are safe and have large answers.
+	Download Kind = "Download"
+)
+
+// A Split is one service's part of a route's requests.
+type Split struct {
+	// Service names an entry of the same configuration.
+	Service string
+	// Weight is the part relative to the other splits of the route.
+	Weight int
 }
 
 // A Host is a published host. Published hosts own quota shares and
@@ -75,9 +122,29 @@
 
 // A Route sends requests whose path lies under Prefix to a service.
 type Route struct {
-	// Prefix starts with a slash and matches on path segment bounds.
-	Prefix  string
-	Service string
+	// VirtualHost limits the route to requests for this host name, in lower
+	// case and without port; empty matches the hosts without routes of their
+	// own.
+	VirtualHost string `toml:",omitempty"`
+	// Prefix starts with a slash and matches on path segment bounds. With a
+	// VirtualHost it may end with a slash, and then does not match the bare
+	// path before that slash.
+	Prefix string
+	// Service is empty where Splits is set.
+	Service string `toml:",omitempty"`
+	// Splits divides the requests over services by weight.
+	Splits []Split `toml:",omitempty"`
+	Kind   Kind    `toml:",omitempty"`
+	// TimeoutMs is the longest time that a caller is kept waiting and
+	// ObjectiveMs the time within which an answer is worth most, in
+	// milliseconds; zero means none.
+	TimeoutMs   int `toml:",omitempty"`
+	ObjectiveMs int `toml:",omitempty"`
+	// Priority ranks requests, 0 first. An account's priority goes before it.
+	Priority int `toml:",omitempty"`
+	// Attempts is the largest number of backend servers that one request is
+	// sent to; zero leaves it to the node.
+	Attempts int `toml:",omitempty"`
 	// Open lets requests without a key pass.
 	Open bool `toml:",omitempty"`
 	// Idempotent states that repeating any request of the route is safe,
@@ -91,6 +158,8 @@
 	// Keys holds the SHA-256 digests of the account's keys in lower-case
 	// hexadecimal. No digest belongs to two accounts.
 	Keys []string
+	// Priority, if set, ranks the account's requests in place of the route's.
+	Priority *int `toml:",omitempty"`
 }
 
 // An Exception overrides defaults for what its selectors match.
--- a/pkg/config/names.go
+++ b/pkg/config/names.go
@@ -49,15 +49,18 @@
 	}
 }
 
-func checkPrefix(f *Faults, part, key, prefix string) {
+// checkPrefix accepts route prefixes. Only routes of a virtual host may end
+// with a slash.
+func checkPrefix(f *Faults, part, key string, r *Route) {
+	prefix := r.Prefix
 	ok := strings.HasPrefix(prefix, "/") && len(prefix) <= prefixLimit && isPlainPath(prefix) &&
-		(prefix == "/" || !strings.HasSuffix(prefix, "/"))
+		(prefix == "/" || r.VirtualHost != "" || !strings.HasSuffix(prefix, "/"))
 	for i := 0; ok && i < len(prefix); i++ {
 		c := prefix[i]
 		ok = c > ' ' && c < 0x7f && strings.IndexByte("%?#;\\", c) < 0
 	}
 	if !ok {
-		f.add(part, key, "must be a path of at most %d ASCII characters that starts with '/', without dot or empty segments, trailing '/', and any of %% ? # ; \\", prefixLimit)
+		f.add(part, key, "must be a path of at most %d ASCII characters that starts with '/', without dot or empty segments, trailing '/' unless with a VirtualHost, and any of %% ? # ; \\", prefixLimit)
 	}
 }
 
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -27,7 +27,7 @@
 			d.checkZone(p.name, entry("Hosts", h.ID, i), h.Zone)
 		}
 		for i, r := range p.doc.Routes {
-			d.checkService(p.name, entry("Routes", r.Prefix, i), r.Service)
+			d.checkTargets(p.name, entry("Routes", r.key(), i), &r)
 		}
 		for i, a := range p.doc.Accounts {
 			for _, k := range a.Keys {
@@ -40,6 +40,15 @@
 	}
 }
 
+func (d *draft) checkTargets(part, key string, r *Route) {
+	if len(r.Splits) == 0 {
+		d.checkService(part, key, r.Service)
+	}
+	for _, t := range r.Splits {
+		d.checkService(part, key, t.Service)
+	}
+}
+
 func (d *draft) checkService(part, key, name string) {
 	if d.snapshot.Services[name] == nil {
 		d.faults.add(part, key+".Service", "there is no service %q", name)
--- a/pkg/config/route.go
+++ b/pkg/config/route.go
@@ -2,9 +2,124 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
 )
 
+// routeLimit bounds the numbers of a route: an hour in milliseconds.
+const routeLimit = 3_600_000
+
+// key names the route within a configuration.
+func (r *Route) key() string { return r.VirtualHost + r.Prefix }
+
+// CanRepeat reports whether a request with the method may run more than once.
+func (r *Route) CanRepeat(idempotentMethod bool) bool {
+	switch r.Kind {
+	case Safe, Download:
+		return true
+	case Unsafe:
+		return false
+	}
+	return r.Idempotent || idempotentMethod
+}
+
+// wholeShare is the share of a service that a route names alone.
+const wholeShare = "all"
+
+// share returns the weight of a service on the route, empty if it has none.
+func (r *Route) share(service string) string {
+	if len(r.Splits) == 0 && r.Service == service {
+		return wholeShare
+	}
+	for _, t := range r.Splits {
+		if t.Service == service {
+			return strconv.Itoa(t.Weight)
+		}
+	}
+	return ""
+}
+
+func checkRoute(f *Faults, part, key string, r *Route) {
+	switch r.Kind {
+	case "", Safe, Unsafe, Download:
+	default:
+		f.add(part, key+".Kind", "must be %s, %s or %s", Safe, Unsafe, Download)
+	}
+	if r.VirtualHost != strings.ToLower(r.VirtualHost) || strings.ContainsAny(r.VirtualHost, "/: ") {
+		f.add(part, key+".VirtualHost", "must be a host name in lower case without port")
+	}
+	if (r.Service == "") == (len(r.Splits) == 0) {
+		f.add(part, key, "needs either Service or Splits")
+	}
+	total := 0
+	for _, t := range r.Splits {
+		if t.Weight < 0 {
+			f.add(part, key+".Splits", "the weight of %q must not be negative", t.Service)
+		}
+		total += max(0, t.Weight)
+	}
+	if len(r.Splits) > 0 && total == 0 {
+		f.add(part, key+".Splits", "at least one weight must be over 0")
+	}
+	for _, n := range []struct {
+		name  string
+		value int
+	}{{"TimeoutMs", r.TimeoutMs}, {"ObjectiveMs", r.ObjectiveMs}, {"Priority", r.Priority}, {"Attempts", r.Attempts}} {
+		if n.value < 0 || n.value > routeLimit {
+			f.add(part, key+"."+n.name, "must be from 0 to %d", routeLimit)
+		}
+	}
+}
+
+func checkService(f *Faults, part, key string, s *Service) {
+	if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+		f.add(part, key+".HealthPath", "must start with '/'")
+	}
+	if s.MaxConnections < 0 || s.ColdMs < 0 || !(s.ColdPerSecond >= 0) {
+		f.add(part, key, "MaxConnections, ColdMs and ColdPerSecond must not be negative")
+	}
+}
+
+func (s *Snapshot) indexVirtual(r *Route) {
+	if s.virtual == nil {
+		s.virtual = map[string]map[string]*Route{}
+	}
+	if s.virtual[r.VirtualHost] == nil {
+		s.virtual[r.VirtualHost] = map[string]*Route{}
+	}
+	s.virtual[r.VirtualHost][r.Prefix] = r
+}
+
+// RouteOf returns the route of a request for a host, as it stands in the
+// request, and an escaped path without query. A host with routes of its own
+// has no others. Their prefixes are compared with the bytes of the path as it
+// was sent, since it is passed on unchanged.
+func (s *Snapshot) RouteOf(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := s.virtual[strings.ToLower(host)]
+	if routes == nil {
+		return s.Route(path)
+	}
+	if r := routes[path]; r != nil {
+		return r, true
+	}
+	for end := len(path); ; {
+		i := strings.LastIndexByte(path[:end], '/')
+		if i < 0 {
+			return nil, false
+		}
+		if r := routes[path[:i+1]]; r != nil {
+			return r, true
+		}
+		if r := routes[path[:i]]; r != nil && i > 0 {
+			return r, true
+		}
+		end = i
+	}
+}
+
 // Route returns the route with the longest prefix of path on segment bounds.
 // path is the escaped path of the request, without query.
 //
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -4,7 +4,8 @@
 // changed after Accept returns it, so it may be shared between goroutines.
 type Snapshot struct {
 	Version uint64
-	// Digest is the SHA-256 of the manifest's bytes in lower-case hexadecimal.
+	// Digest is the SHA-256 of the manifest's bytes in lower-case hexadecimal,
+	// empty for a version that came without one, see Assemble.
 	Digest string
 	// Zones, Services, Hosts and Accounts are keyed by name (hosts by ID).
 	Zones    map[string]*AvailabilityZone
@@ -15,12 +16,17 @@
 	Routes     []Route
 	Defaults   Values
 	Exceptions []Exception
+	// CallerLimits is the zero value if no part sets it.
+	CallerLimits CallerLimits
 
 	// base is Defaults resolved; layers override it, lowest rank first.
 	base   Effective
 	layers []layer
-	// routes maps prefixes to entries of Routes.
-	routes        map[string]*Route
+	// routes maps Route.key to entries of Routes.
+	routes map[string]*Route
+	// virtual maps host names, and prefixes without a last slash, to the
+	// routes that name a virtual host.
+	virtual       map[string]map[string]*Route
 	longestPrefix int
 	// keys maps the first eight bytes of key digests to their owners.
 	keys map[uint64][]keyOwner
--- a/pkg/config/spelling.go
+++ b/pkg/config/spelling.go
@@ -13,7 +13,7 @@
 // its spelling.
 var fieldNames = namesOf(reflect.TypeFor[Manifest](), reflect.TypeFor[PartRef](), reflect.TypeFor[Document](),
 	reflect.TypeFor[Values](), reflect.TypeFor[AvailabilityZone](), reflect.TypeFor[Service](), reflect.TypeFor[Host](),
-	reflect.TypeFor[Route](), reflect.TypeFor[ClientAccount](), reflect.TypeFor[Exception]())
+	reflect.TypeFor[Route](), reflect.TypeFor[ClientAccount](), reflect.TypeFor[Exception](), reflect.TypeFor[Split](), reflect.TypeFor[CallerLimits]())
 
 func namesOf(types ...reflect.Type) map[string]string {
 	names := map[string]string{}
--- a/pkg/config/values.go
+++ b/pkg/config/values.go
@@ -22,6 +22,9 @@
 	get      func(v *Values) (float64, bool)
 }
 
+// Unlimited is the Rate of an account without limit, the largest there is.
+const Unlimited = 1e7
+
 // settings lists the fields of Values in the order of their declaration. The
 // bounds exclude values that no deployment needs and that would overflow
 // or stall arithmetic elsewhere.
@@ -33,7 +36,7 @@
 	{"CallTimeoutMs", anyScope, 1, 300_000, func(v *Values) (float64, bool) { return whole(v.CallTimeoutMs) }},
 	{"RetryPercent", anyScope, 0, 100, func(v *Values) (float64, bool) { return whole(v.RetryPercent) }},
 	{"MaxHeaderBytes", hostScope, 1024, 64 << 10, func(v *Values) (float64, bool) { return whole(v.MaxHeaderBytes) }},
-	{"Rate", accountScope, 0.001, 1e7, func(v *Values) (float64, bool) { return fraction(v.Rate) }},
+	{"Rate", accountScope, 0.001, Unlimited, func(v *Values) (float64, bool) { return fraction(v.Rate) }},
 	{"Burst", accountScope, 1, 1e7, func(v *Values) (float64, bool) { return fraction(v.Burst) }},
 }
 
--- /dev/null
+++ b/pkg/door/door.go
@@ -0,0 +1,316 @@
+// Package door admits requests to the one backend server beside a node.
+//
+// The node is the only way to that server. So its door alone knows how many
+// requests run there, how many a cold server has got within the last second,
+// and who waits; a request that it refuses has certainly not run, and another
+// server can be asked at once. The package opens no socket.
+package door
+
+import (
+	"container/heap"
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// coldWindow is the time over which a cold server's requests are counted.
+	coldWindow = time.Second
+	// firstEstimate is the assumed time a request runs before any was seen.
+	firstEstimate = 100 * time.Millisecond
+	// estimateWeight is the weight of a new duration in the moving average.
+	estimateWeight = 1.0 / 16
+	// lateShare is the part of the usual running time, its inverse, that a
+	// request must have left when it starts.
+	lateShare = 4
+	// unknownSlots is assumed of a server that has not published its slots.
+	unknownSlots = 4
+)
+
+// A Call is what the door needs to know of a request.
+type Call struct {
+	// Priority ranks waiting requests, 0 first.
+	Priority int
+	// Deadline is the time after which no one waits for the answer.
+	Deadline time.Time
+	// NoWait refuses the request if it cannot run at once.
+	NoWait bool
+	// Nested requests belong to a request that already runs elsewhere. Among
+	// requests of one priority they go first.
+	Nested bool
+}
+
+// A Load describes how busy the server is.
+type Load struct {
+	Running int
+	// Permits is the number of requests that may run at once.
+	Permits int
+	Queued  int
+}
+
+// A Door admits requests to one backend server. Its exported fields are set
+// before the first call. It is safe for concurrent use.
+type Door struct {
+	Now func() time.Time
+	// After calls f once after d; the returned function stops it.
+	After func(d time.Duration, f func()) (stop func() bool)
+
+	mu      sync.Mutex
+	slots   int
+	running int
+	waiting queue
+	seq     uint64
+	// closed is why nothing new is taken, empty while the door is open.
+	closed Reason
+	// coldUntil is until when starts are counted, coldPerSecond their limit;
+	// zero means no limit.
+	coldUntil     time.Time
+	coldPerSecond float64
+	// starts holds the times of the starts of the last coldWindow.
+	starts []time.Time
+	// mean is the moving average of the time a request runs.
+	mean time.Duration
+	stop func() bool
+}
+
+// New returns an open door to a server with unknown slots.
+func New() *Door {
+	return &Door{
+		Now:   time.Now,
+		After: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
+		slots: unknownSlots, mean: firstEstimate,
+	}
+}
+
+// SetSlots sets how many requests run at once.
+func (d *Door) SetSlots(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots = max(1, n)
+	d.dispatch(d.Now())
+}
+
+// SetCold limits the requests per second until the given time. A limit of
+// zero or a time that has passed means that the server is warm.
+func (d *Door) SetCold(until time.Time, perSecond float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.coldUntil, d.coldPerSecond = until, perSecond
+	d.dispatch(d.Now())
+}
+
+// Cold reports whether the server is taken for cold.
+func (d *Door) Cold() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isCold(d.Now())
+}
+
+// Close refuses new and waiting requests for the reason; the empty reason
+// opens the door. Requests that run are finished.
+func (d *Door) Close(r Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = r
+	if r == "" {
+		d.dispatch(d.Now())
+		return
+	}
+	for _, w := range d.waiting {
+		w.refuse(&Refusal{Reason: r})
+	}
+	d.waiting = nil
+}
+
+// Load returns the present load.
+func (d *Door) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Load{Running: d.running, Permits: d.permits(d.Now()), Queued: len(d.waiting)}
+}
+
+// Enter admits a request, waiting for its turn if it may. The error is a
+// *Refusal, and the request then has not run.
+func (d *Door) Enter(ctx context.Context, c Call) (*Pass, error) {
+	w, p, err := d.offer(c)
+	if w == nil {
+		return p, err
+	}
+	late := make(chan struct{})
+	defer d.After(w.latest.Sub(d.Now()), func() { close(late) })()
+	select {
+	case <-w.ready:
+	case <-late:
+		d.cancel(w, Late)
+	case <-ctx.Done():
+		d.cancel(w, Canceled)
+	}
+	<-w.ready
+	if w.pass == nil {
+		return nil, w.refusal
+	}
+	return w.pass, nil
+}
+
+// offer admits, refuses or queues a request.
+func (d *Door) offer(c Call) (*waiter, *Pass, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	if d.closed != "" {
+		return nil, nil, &Refusal{Reason: d.closed}
+	}
+	if len(d.waiting) == 0 && d.free(now) {
+		return nil, d.start(now), nil
+	}
+	d.seq++
+	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{}), latest: c.Deadline.Add(-d.mean / lateShare)}
+	wait := d.estimate(w, now)
+	switch {
+	case c.NoWait:
+		return nil, nil, &Refusal{Reason: Full, After: wait}
+	case now.Add(wait + d.mean/2).After(c.Deadline):
+		return nil, nil, &Refusal{Reason: Overloaded, After: wait}
+	}
+	heap.Push(&d.waiting, w)
+	d.arm(now)
+	return w, nil, nil
+}
+
+// estimate returns how long a new request would wait.
+func (d *Door) estimate(w *waiter, now time.Time) time.Duration {
+	ahead := 1
+	for _, o := range d.waiting {
+		if o.before(w) {
+			ahead++
+		}
+	}
+	wait := time.Duration(float64(ahead) * float64(d.mean) / float64(d.slots))
+	if d.isCold(now) {
+		wait = max(wait, time.Duration(float64(ahead)/d.coldPerSecond*float64(time.Second)))
+	}
+	return wait
+}
+
+// cancel takes a request out of the queue unless it has left it already.
+func (d *Door) cancel(w *waiter, r Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.pass != nil || w.refusal != nil {
+		return
+	}
+	heap.Remove(&d.waiting, w.index)
+	w.refuse(&Refusal{Reason: r})
+}
+
+// dispatch starts waiting requests while the server has room. Those that no
+// longer have the time to run are refused.
+func (d *Door) dispatch(now time.Time) {
+	for len(d.waiting) > 0 && d.free(now) {
+		w := heap.Pop(&d.waiting).(*waiter)
+		if !now.Before(w.latest) {
+			w.refuse(&Refusal{Reason: Late})
+			continue
+		}
+		w.pass = d.start(now)
+		close(w.ready)
+	}
+	d.arm(now)
+}
+
+// arm sets the timer that dispatches when a cold server may get more, or when
+// it becomes warm.
+func (d *Door) arm(now time.Time) {
+	if d.stop != nil {
+		d.stop()
+		d.stop = nil
+	}
+	if len(d.waiting) == 0 || !d.isCold(now) || d.running >= d.slots {
+		return
+	}
+	at := d.coldUntil
+	if n := d.coldLimit(); len(d.starts) >= n {
+		if t := d.starts[len(d.starts)-n].Add(coldWindow); t.Before(at) {
+			at = t
+		}
+	}
+	d.stop = d.After(max(time.Millisecond, at.Sub(now)), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.stop = nil
+		d.dispatch(d.Now())
+	})
+}
+
+func (d *Door) isCold(now time.Time) bool {
+	return d.coldPerSecond > 0 && now.Before(d.coldUntil)
+}
+
+func (d *Door) coldLimit() int { return max(1, int(math.Floor(d.coldPerSecond))) }
+
+// permits is the number of requests that may run at once. A cold server's is
+// the number that its rate sustains.
+func (d *Door) permits(now time.Time) int {
+	if !d.isCold(now) {
+		return d.slots
+	}
+	return min(d.slots, max(1, int(d.coldPerSecond*d.mean.Seconds())))
+}
+
+// free reports whether a request may start now.
+func (d *Door) free(now time.Time) bool {
+	if d.running >= d.slots {
+		return false
+	}
+	if d.coldPerSecond <= 0 {
+		return true
+	}
+	d.forget(now)
+	return !d.isCold(now) || len(d.starts) < d.coldLimit()
+}
+
+// forget drops the starts that are older than the window.
+func (d *Door) forget(now time.Time) {
+	i := 0
+	for i < len(d.starts) && now.Sub(d.starts[i]) >= coldWindow {
+		i++
+	}
+	d.starts = d.starts[i:]
+}
+
+// start takes a slot. Starts are counted while the server is warm as well,
+// since it may turn out to be cold.
+func (d *Door) start(now time.Time) *Pass {
+	d.running++
+	if d.coldPerSecond > 0 {
+		d.starts = append(d.starts, now)
+	}
+	return &Pass{door: d, begun: now}
+}
+
+// A Pass is the right to run one request. Done must be called once; further
+// calls have no effect.
+type Pass struct {
+	door  *Door
+	begun time.Time
+	done  bool
+}
+
+// Done gives the slot back. ran states that the server ran the request to its
+// end, so that its duration tells how long requests take.
+func (p *Pass) Done(ran bool) {
+	d := p.door
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	d.running--
+	now := d.Now()
+	if ran {
+		d.mean += time.Duration(estimateWeight * float64(now.Sub(p.begun)-d.mean))
+	}
+	d.dispatch(now)
+}
--- /dev/null
+++ b/pkg/fleet/directory.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A View is what a Directory knew at one time. It is never changed.
+type View struct {
+	// Instances is keyed by ID.
+	Instances map[string]*Instance
+	// ByService holds the instances of each service in the order of their IDs.
+	ByService map[string][]*Instance
+	// ByAddress holds the newest instance of each address.
+	ByAddress map[string]*Instance
+	// ZonesOut holds the zones that take nothing new.
+	ZonesOut map[string]bool
+}
+
+// Usable reports whether new work may be sent to the instance.
+func (v *View) Usable(i *Instance) bool {
+	return i.State == Ready && !v.ZonesOut[i.Zone]
+}
+
+// A Directory applies published changes. Its exported fields are set before
+// the first call. It is safe for concurrent use.
+type Directory struct {
+	Now func() time.Time
+	// LapseGrace is how long after the store's return an entry that lapsed
+	// meanwhile may take to come back.
+	LapseGrace time.Duration
+
+	mu        sync.Mutex
+	instances map[string]*Instance
+	zonesOut  map[string]bool
+	// lost is set while the store does not answer this node.
+	lost bool
+	// graceUntil is until when missing entries are kept after an outage.
+	graceUntil time.Time
+	// lapsed holds the instances whose entry is missing, by the time at which
+	// they are taken for gone.
+	lapsed map[string]time.Time
+
+	view    atomic.Pointer[View]
+	changed chan struct{}
+}
+
+// New returns an empty directory.
+func New(grace time.Duration) *Directory {
+	d := &Directory{
+		Now: time.Now, LapseGrace: grace,
+		instances: map[string]*Instance{}, zonesOut: map[string]bool{}, lapsed: map[string]time.Time{},
+		changed: make(chan struct{}),
+	}
+	d.publish()
+	return d
+}
+
+// View returns what is known now.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Changed returns a channel that is closed with the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Apply applies changes in the order in which they were published.
+func (d *Directory) Apply(changes []Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	for i := range changes {
+		d.apply(&changes[i], now)
+	}
+	d.publish()
+}
+
+// Replace applies a whole listing: what it does not name is gone, or lapsed
+// if the store has just come back.
+func (d *Directory) Replace(changes []Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	listed := map[string]bool{}
+	d.zonesOut = map[string]bool{}
+	for i := range changes {
+		d.apply(&changes[i], now)
+		if changes[i].Kind == InstanceSet {
+			listed[changes[i].Instance.ID] = true
+		}
+	}
+	for id := range d.instances {
+		if !listed[id] {
+			d.remove(id, now)
+		}
+	}
+	d.publish()
+}
+
+// StoreLost records that the store does not answer this node.
+func (d *Directory) StoreLost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lost = true
+}
+
+// StoreBack records an answer of the store.
+func (d *Directory) StoreBack() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lost {
+		d.lost = false
+		d.graceUntil = d.Now().Add(d.LapseGrace)
+	}
+}
+
+// Tick removes lapsed instances whose time is over.
+func (d *Directory) Tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	changed := false
+	for id, at := range d.lapsed {
+		if !now.Before(at) {
+			delete(d.lapsed, id)
+			delete(d.instances, id)
+			changed = true
+		}
+	}
+	if changed {
+		d.publish()
+	}
+}
+
+func (d *Directory) apply(c *Change, now time.Time) {
+	switch c.Kind {
+	case InstanceSet:
+		i := c.Instance
+		if known := d.instances[i.ID]; known != nil && !i.supersedes(known) {
+			return
+		}
+		d.instances[i.ID] = &i
+		delete(d.lapsed, i.ID)
+	case InstanceGone:
+		d.remove(c.ID, now)
+	case ZoneOut:
+		d.zonesOut[c.Zone] = true
+	case ZoneBack:
+		delete(d.zonesOut, c.Zone)
+	}
+}
+
+func (d *Directory) remove(id string, now time.Time) {
+	if d.instances[id] == nil {
+		return
+	}
+	if now.Before(d.graceUntil) {
+		if _, ok := d.lapsed[id]; !ok {
+			d.lapsed[id] = d.graceUntil
+		}
+		return
+	}
+	delete(d.instances, id)
+	delete(d.lapsed, id)
+}
+
+// publish makes the present state the view. The caller holds the mutex.
+func (d *Directory) publish() {
+	v := &View{
+		Instances: maps.Clone(d.instances), ZonesOut: maps.Clone(d.zonesOut),
+		ByService: map[string][]*Instance{}, ByAddress: map[string]*Instance{},
+	}
+	for _, i := range v.Instances {
+		v.ByService[i.Service] = append(v.ByService[i.Service], i)
+		if o := v.ByAddress[i.Address]; o == nil || i.after(o) {
+			v.ByAddress[i.Address] = i
+		}
+	}
+	for _, all := range v.ByService {
+		slices.SortFunc(all, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	d.view.Store(v)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// after orders instances that share an address: the one that started last has
+// it.
+func (i *Instance) after(o *Instance) bool {
+	if i.Born != o.Born {
+		return i.Born > o.Born
+	}
+	return i.ID > o.ID
+}
--- /dev/null
+++ b/pkg/split/split.go
@@ -0,0 +1,169 @@
+// Package split gives each node of a fleet its part of the limits that count
+// over all nodes together, without any message.
+//
+// Nodes take the requests of callers in about equal numbers, and a deployment
+// tolerates that an account exceeds its limit by a stated part. A node may
+// therefore admit an equal part of the limit and of most of that tolerance. It
+// depends on nothing but the number of nodes, so a restart, a partition or an
+// outage of the store changes nothing about it. The package opens no socket.
+package split
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// usedOverage is the part of the tolerated overage that nodes use. The
+	// rest covers nodes that count fewer nodes than there are.
+	usedOverage = 0.8
+	// usedSlack is the part of the tolerated slack that nodes use.
+	usedSlack = 0.8
+	// startLevel is the part of a bucket that is full at the start of the
+	// process. Whether the node spent before a restart is not known.
+	startLevel = 0.4
+	// forgetNodes is how long a node that is no longer seen is counted. A node
+	// that was cut off still counts all others for that time.
+	forgetNodes = 10 * time.Second
+)
+
+// A Tolerance is by how much an account may exceed its limit over the fleet.
+type Tolerance struct {
+	// Overage is a part of the limit, Slack a number of requests beside it
+	// within one window.
+	Overage float64
+	Slack   float64
+}
+
+// A Limit is one account's limit over the fleet. A Rate of zero means none.
+type Limit struct {
+	// Rate is in requests per second, Burst in requests.
+	Rate  float64
+	Burst float64
+}
+
+// A Split admits this node's part of each account's limit. Its exported fields
+// are set before the first call. It is safe for concurrent use.
+type Split struct {
+	Now       func() time.Time
+	Tolerance Tolerance
+
+	mu      sync.Mutex
+	limits  map[string]Limit
+	buckets map[string]*bucket
+	// counts holds the numbers of nodes of the last forgetNodes, newest last.
+	counts []count
+	nodes  int
+}
+
+type count struct {
+	nodes int
+	at    time.Time
+}
+
+// A bucket holds the tokens of one account at this node.
+type bucket struct {
+	rate     float64
+	capacity float64
+	tokens   float64
+	filled   time.Time
+}
+
+// New returns a split over one node without limits.
+func New(t Tolerance) *Split {
+	return &Split{Now: time.Now, Tolerance: t, buckets: map[string]*bucket{}, nodes: 1}
+}
+
+// Configure replaces the limits of all accounts.
+func (s *Split) Configure(limits map[string]Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	s.divide(s.Now())
+}
+
+// SetNodes records the number of nodes that take requests. It counts at once
+// where it rises and after forgetNodes where it falls.
+func (s *Split) SetNodes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for len(s.counts) > 0 && (now.Sub(s.counts[0].at) > forgetNodes) {
+		s.counts = s.counts[1:]
+	}
+	if k := len(s.counts); k > 0 && s.counts[k-1].nodes == n {
+		s.counts = s.counts[:k-1]
+	}
+	s.counts = append(s.counts, count{max(1, n), now})
+	most := 1
+	for _, c := range s.counts {
+		most = max(most, c.nodes)
+	}
+	if most != s.nodes {
+		s.nodes = most
+		s.divide(now)
+	}
+}
+
+// divide makes the buckets fit the limits and the number of nodes.
+func (s *Split) divide(now time.Time) {
+	for name := range s.buckets {
+		if s.limits[name].Rate <= 0 {
+			delete(s.buckets, name)
+		}
+	}
+	part := 1 / float64(s.nodes)
+	for name, l := range s.limits {
+		if l.Rate <= 0 {
+			continue
+		}
+		b := s.buckets[name]
+		fresh := b == nil
+		if fresh {
+			b = &bucket{filled: now}
+			s.buckets[name] = b
+		}
+		b.fill(now)
+		b.rate = part * l.Rate * (1 + usedOverage*s.Tolerance.Overage)
+		b.capacity = max(1, part*(l.Burst+usedSlack*s.Tolerance.Slack))
+		if fresh {
+			b.tokens = startLevel * b.capacity
+		}
+		b.tokens = min(b.tokens, b.capacity)
+	}
+}
+
+func (b *bucket) fill(now time.Time) {
+	if d := now.Sub(b.filled).Seconds(); d > 0 {
+		b.tokens = min(b.capacity, b.tokens+d*b.rate)
+	}
+	b.filled = now
+}
+
+// Take spends a token of the account. Where there is none it returns false
+// and the time after which there will be one. An account without limit always
+// has one.
+func (s *Split) Take(account string) (ok bool, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.buckets[account]
+	if b == nil {
+		return true, 0
+	}
+	b.fill(s.Now())
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	return false, time.Duration(math.Ceil((1 - b.tokens) / b.rate * float64(time.Second)))
+}
+
+// GiveBack returns the token of a request that was refused and has not run.
+func (s *Split) GiveBack(account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.buckets[account]; b != nil {
+		b.tokens = min(b.capacity, b.tokens+1)
+	}
+}
