--- a/cmd/quetzaldock/sidecar.go
+++ b/cmd/quetzaldock/sidecar.go
@@ -43,5 +43,8 @@
 	n.Reload = func() (*sidecar.Settings, error) { return sidecar.ReadSettings(path) }
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	n.Hangup = hangup
 	return n.Run(ctx)
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -55,8 +55,12 @@
 	// ReadyPath is where the deployment asks whether callers may use the node.
 	ReadyPath string
 	Log       *slog.Logger
-	// Reload reads the settings again; nil keeps those of the start.
+	// Level is the level of Log.
+	Level *slog.LevelVar
+	// Reload reads the settings again; nil keeps those of the start. It is
+	// called now and then, and when Hangup delivers.
 	Reload func() (*Settings, error)
+	Hangup <-chan os.Signal
 
 	current   atomic.Pointer[Settings]
 	snapshot  atomic.Pointer[config.Snapshot]
@@ -88,7 +92,8 @@
 	_ = l.UnmarshalText([]byte(s.LogLevel))
 	n := &Node{
 		Settings: s, Bounds: DefaultBounds(), suspected: make(chan struct{}, 1),
-		Log: slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l})),
+		Level: l,
+		Log:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l})),
 	}
 	n.current.Store(&n.Settings)
 	return n
@@ -99,7 +104,7 @@
 // Run serves until ctx ends and then stops gracefully: requests that run are
 // finished. It fails with ListenFailed.
 func (n *Node) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryPart * float64(n.Settings.MemoryMB) * (1 << 20)))
+	setMemory(n.Settings.MemoryMB)
 	n.build()
 	servers, err := n.listen()
 	if err != nil {
@@ -111,6 +116,7 @@
 	duties.Go(func() { n.follow(inner) })
 	duties.Go(func() { n.watchHealth(inner) })
 	duties.Go(func() { n.tick(inner) })
+	duties.Go(func() { n.watchSettings(inner) })
 	for _, s := range servers.all() {
 		duties.Go(func() { _ = s.server.Serve(s.listener) })
 	}
@@ -125,6 +131,11 @@
 	return nil
 }
 
+// setMemory has the garbage collector keep the process below its limit.
+func setMemory(mb int) {
+	debug.SetMemoryLimit(int64(memoryPart * float64(mb) * (1 << 20)))
+}
+
 func (n *Node) build() {
 	s := n.settings()
 	n.directory = fleet.New(n.Bounds.LapseGrace)
--- /dev/null
+++ b/internal/sidecar/reload.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+// reloadEvery is the pause between two looks at the settings file, which may
+// change without a signal.
+const reloadEvery = 2 * time.Second
+
+// watchSettings applies changed settings until ctx ends.
+func (n *Node) watchSettings(ctx context.Context) {
+	if n.Reload == nil {
+		return
+	}
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.Hangup:
+			n.Log.Info("asked to read the settings again")
+		case <-t.C:
+		}
+		n.reload()
+	}
+}
+
+// reload reads the settings. Faulty ones change nothing.
+func (n *Node) reload() {
+	s, err := n.Reload()
+	if err != nil {
+		n.Log.Error("changed settings are not applied", "error", err)
+		return
+	}
+	old := n.settings()
+	if s.equal(old) {
+		return
+	}
+	for _, a := range []struct{ key, old, new string }{
+		{"Zone", old.Zone, s.Zone},
+		{"CallerAddress", old.CallerAddress, s.CallerAddress},
+		{"CallAddress", old.CallAddress, s.CallAddress},
+		{"ReadyAddress", old.ReadyAddress, s.ReadyAddress},
+		{"ControlAddress", old.ControlAddress, s.ControlAddress},
+		{"PlatformURL", old.PlatformURL, s.PlatformURL},
+	} {
+		if a.old != a.new {
+			n.Log.Warn("setting changes with the next start only", "key", a.key, "present", a.old, "next", a.new)
+		}
+	}
+	kept := *s
+	kept.Zone, kept.PlatformURL = old.Zone, old.PlatformURL
+	kept.CallerAddress, kept.CallAddress = old.CallerAddress, old.CallAddress
+	kept.ReadyAddress, kept.ControlAddress = old.ReadyAddress, old.ControlAddress
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err == nil {
+		n.Level.Set(level)
+	}
+	n.current.Store(&kept)
+	setMemory(kept.MemoryMB)
+	n.Log.Info("settings applied", "service", kept.Service, "backend", kept.BackendAddress)
+	n.applyFleet()
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -161,6 +162,9 @@
 	return f
 }
 
+// equal reports whether both hold the same values.
+func (s *Settings) equal(o *Settings) bool { return reflect.DeepEqual(s, o) }
+
 // minMemoryMB is what a node needs to start and apply a configuration.
 const minMemoryMB = 32
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -17,7 +17,7 @@
 	// misses.
 	callersFor = 2500 * time.Millisecond
 	// stopSpare is kept of the time until the process is killed.
-	stopSpare = 500 * time.Millisecond
+	stopSpare = 900 * time.Millisecond
 )
 
 // stop ends the node in order: callers are told to go elsewhere, then the door
@@ -34,7 +34,12 @@
 	defer cancel()
 	var w sync.WaitGroup
 	for _, l := range s.all() {
-		w.Go(func() { _ = l.server.Shutdown(ctx) })
+		w.Go(func() {
+			if err := l.server.Shutdown(ctx); err != nil {
+				n.Log.Warn("connections were still in use", "address", l.listener.Addr().String(), "error", err)
+				_ = l.server.Close()
+			}
+		})
 	}
 	w.Wait()
 }
