Order waiting requests by objective and ask full doors for a place last

Cause: in overload every request waited until most were late; a door that was closed used up the only place in a queue.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,21 +48,30 @@
 	service func() string
 	// closing reports that the node is being stopped.
 	closing func() bool
-	// backend is the IP address from which the local backend server calls.
-	backend func() string
-	observe func(o Observation)
+	observe func(o *Observation)
 }
 
-// An Observation describes one answered request.
+// An Observation describes one request that has ended.
 type Observation struct {
+	// ID is the caller's.
+	ID string
 	// Route is the prefix of the route, empty without one.
 	Route   string
 	Account string
+	Nested  bool
 	Status  int
-	// Refused is the reason of the node's own answer, empty for an answer of
-	// the backend server.
-	Refused string
+	// Reason is that of the node's own answer, empty for an answer of a backend
+	// server.
+	Reason string
+	// Hosts names the instances whose doors were asked, in order, and Runs
+	// counts those that the request reached.
+	Hosts []string
+	Runs  int
+	// Version is that of the configuration in force.
+	Version uint64
 	Latency time.Duration
+	// Left is set if the caller went away first.
+	Left bool
 }
 
 // A rejection is the node's own answer to a request.
@@ -82,14 +90,15 @@
 	o := Observation{}
 	began := s.now()
 	defer func() {
-		o.Latency = s.now().Sub(began)
-		s.observe(o)
+		o.ID, o.Latency = in.Header.Get(s.names.RequestID), s.now().Sub(began)
+		o.Left = in.Context().Err() != nil
+		s.observe(&o)
 	}()
 	b := call.NewBody(w, in)
 	defer b.Release()
 	j, err := s.accept(in, began)
 	if j.route != nil {
-		o.Route, o.Account = j.route.Prefix, j.account
+		o.Route, o.Account, o.Nested, o.Version = j.route.Prefix, j.account, j.nested, j.version
 	}
 	if err != nil {
 		s.reject(w, in, err, &o)
@@ -100,6 +109,7 @@
 	ctx, cancel := context.WithDeadline(in.Context(), j.deadline)
 	defer cancel()
 	a, err := s.serve(ctx, j)
+	o.Hosts, o.Runs = j.hosts, j.runs
 	if err != nil {
 		s.reject(w, in, err, &o)
 		return
@@ -121,11 +131,20 @@
 	route    *config.Route
 	account  string
 	deadline time.Time
-	priority int
-	nested   bool
+	// objective is zero for routes without one.
+	objective time.Time
+	priority  int
+	// nested requests come without a key on an open route: that is how backend
+	// servers call each other for a request that they run.
+	nested bool
 	// repeatable requests may run more than once.
 	repeatable bool
 	body       *call.Replay
+	// version is that of the configuration in force at the start.
+	version uint64
+	// hosts and runs are filled by the dispatcher, see Observation.
+	hosts []string
+	runs  int
 }
 
 // accept tells what a request is and whose, or why it is refused.
@@ -139,11 +158,9 @@
 	if !ok {
 		return j, &rejection{http.StatusNotFound, "NoRoute", 0}
 	}
-	j.route, j.priority = route, route.Priority
+	j.route, j.priority, j.version = route, route.Priority, v.Version
 	j.repeatable = route.CanRepeat(call.IsIdempotentMethod(in.Method))
-	if host, _, err := net.SplitHostPort(in.RemoteAddr); err == nil {
-		j.nested = host == s.backend()
-	}
+	j.nested = route.Open && in.Header.Get(s.names.Key) == ""
 	if err := s.identify(j, v); err != nil {
 		return j, err
 	}
@@ -191,6 +208,9 @@
 		d = min(d, time.Duration(t)*time.Millisecond)
 	}
 	j.deadline = now.Add(d)
+	if t := j.route.ObjectiveMs; t > 0 && !j.nested {
+		j.objective = now.Add(time.Duration(t) * time.Millisecond)
+	}
 	return nil
 }
 
@@ -219,7 +239,7 @@
 // reject gives the node's own answer to a request.
 func (s *callers) reject(w http.ResponseWriter, in *http.Request, err error, o *Observation) {
 	r := rejectionOf(err)
-	o.Status, o.Refused = r.status, r.reason
+	o.Status, o.Reason = r.status, r.reason
 	if in.Context().Err() != nil {
 		return
 	}
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/call"
@@ -17,6 +18,9 @@
 	// doorsAsked is the number of doors that are asked for a free slot before
 	// one is asked for a place in its queue. An answer takes about 2 ms.
 	doorsAsked = 3
+	// queuesAsked is the number of doors that are then asked for a place in
+	// their queue, shortest wait first.
+	queuesAsked = 2
 	// sendsMost bounds the doors that one request is sent to in all.
 	sendsMost = 8
 	// defaultAttempts is the number of instances for a route without one.
@@ -71,10 +75,18 @@
 	// one has run it and answered with a failure.
 	unknown *call.Unknown
 	failed  *http.Response
-	// soonest is the least time after which a refusing door may have room.
-	soonest time.Duration
-	// queued is set once a place in a queue was asked for.
-	queued bool
+	// full holds the doors that had no free slot.
+	full []fullDoor
+	// queued counts the doors that were asked for a place in their queue.
+	queued int
+	// last is the latest refusal.
+	last *door.Refusal
+}
+
+// A fullDoor is a door without a free slot and the wait that it foresees.
+type fullDoor struct {
+	to   balance.Target
+	wait time.Duration
 }
 
 // notExecuted is the reason of a request that instances refused to run.
@@ -93,27 +105,43 @@
 // Error implements error.
 func (f *failedAnswer) Error() string { return "status " + http.StatusText(f.answer.StatusCode) }
 
+// pick returns the next host, and whether the request may wait there.
+func (t *trial) pick() (to balance.Target, wait, ok bool) {
+	if len(t.full) < doorsAsked {
+		if to, ok = t.d.chooser.Pick(t.service, t.tried); ok {
+			return to, false, true
+		}
+	}
+	if len(t.full) == 0 || t.queued >= queuesAsked {
+		return to, false, false
+	}
+	t.queued++
+	best := 0
+	for i := range t.full {
+		if t.full[i].wait < t.full[best].wait {
+			best = i
+		}
+	}
+	to = t.full[best].to
+	t.full = slices.Delete(t.full, best, best+1)
+	return to, true, true
+}
+
 // next sends the request to one more host.
 func (t *trial) next(ctx context.Context) (*http.Response, error) {
 	d, j := t.d, t.j
-	to, ok := d.chooser.Pick(t.service, t.tried)
-	if !ok && !t.queued && len(t.tried) > 0 && t.soonest > 0 {
-		// All doors are full; the best of them may have a place to wait.
-		t.tried = nil
-		to, ok = d.chooser.Pick(t.service, nil)
-		t.queued = true
-	}
+	to, wait, ok := t.pick()
 	if !ok {
 		return nil, errNoTarget
 	}
 	t.sends++
 	r := &Request{
 		In: j.in, Header: j.header, Body: j.body.Next(), Length: j.in.ContentLength,
-		Instance: to.ID, Deadline: j.deadline, Priority: j.priority, Nested: j.nested, Repeatable: j.repeatable,
-		NoWait: !t.queued && t.sends < doorsAsked,
+		Instance: to.ID, Deadline: j.deadline, Objective: j.objective, Priority: j.priority, Nested: j.nested,
+		Repeatable: j.repeatable, NoWait: !wait,
 	}
-	t.queued = t.queued || !r.NoWait
 	t.tried = append(t.tried, to.ID)
+	j.hosts = append(j.hosts, to.ID)
 	d.chooser.Started(to.ID)
 	began := d.now()
 	a, l, err := d.send(ctx, to, r)
@@ -121,9 +149,13 @@
 		a, err = t.judge(a)
 	}
 	d.chooser.Finished(to.ID, t.result(ctx, err), l)
-	if err == nil && a.StatusCode < http.StatusInternalServerError {
+	if err == nil && a.StatusCode < http.StatusInternalServerError && !wait {
 		d.chooser.Observed(to.ID, d.now().Sub(began))
 	}
+	var f *door.Refusal
+	if errors.As(err, &f) && f.Reason == door.Full {
+		t.full = append(t.full, fullDoor{to, f.After})
+	}
 	return a, err
 }
 
@@ -186,18 +218,14 @@
 	more := ctx.Err() == nil && left > leastLeft && t.sends < sendsMost
 	var f *door.Refusal
 	if errors.As(err, &f) {
-		if f.After > 0 && (t.soonest == 0 || f.After < t.soonest) {
-			t.soonest = f.After
-		}
-		if err == errNoTarget || f.Reason == door.Late || f.Reason == door.Canceled {
-			return false
-		}
-		if f.Reason == door.Overloaded && t.queued {
+		if err == errNoTarget {
 			return false
 		}
-		return more && t.j.body.CanRepeat()
+		t.last = f
+		return more && f.Reason != door.Late && f.Reason != door.Canceled && t.j.body.CanRepeat()
 	}
 	t.runs++
+	t.j.runs = t.runs
 	var a *failedAnswer
 	if errors.As(err, &a) && a.notRun {
 		return more && t.mayRunAgain() && t.j.body.CanRepeat()
@@ -237,8 +265,10 @@
 		return t.failed, nil
 	case t.unknown != nil:
 		return nil, t.unknown
+	case t.last != nil:
+		return nil, t.last
 	case errors.As(err, &f):
-		return nil, &door.Refusal{Reason: f.Reason, After: max(f.After, t.soonest)}
+		return nil, f
 	}
 	return nil, &door.Refusal{Reason: notExecuted}
 }
--- /dev/null
+++ b/internal/sidecar/journal.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	// linesPerSecond bounds the lines about failed requests; an overload fails
+	// hundreds of requests a second.
+	linesPerSecond = 20
+	// usualEvery is how many requests that end as usual share one line.
+	usualEvery = 200
+)
+
+// A journal writes a line about each request that ended otherwise than
+// usual, within a bound, and about a sample of the others.
+type journal struct {
+	log *slog.Logger
+	now func() time.Time
+
+	mu      sync.Mutex
+	since   time.Time
+	written int
+	dropped int
+	usual   int
+}
+
+// observe writes what is to be written about a request.
+func (j *journal) observe(o *Observation) {
+	if !j.admit(o) {
+		return
+	}
+	j.log.Info("request ended", "request", o.ID, "route", o.Route, "account", o.Account, "nested", o.Nested,
+		"status", o.Status, "reason", o.Reason, "hosts", o.Hosts, "runs", o.Runs, "version", o.Version,
+		"ms", o.Latency.Milliseconds(), "left", o.Left)
+}
+
+func (j *journal) admit(o *Observation) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if o.Reason == "" && o.Status < 500 {
+		j.usual++
+		return j.usual%usualEvery == 0
+	}
+	now := j.now()
+	if now.Sub(j.since) >= time.Second {
+		if j.dropped > 0 {
+			j.log.Warn("lines about requests dropped", "count", j.dropped)
+		}
+		j.since, j.written, j.dropped = now, 0, 0
+	}
+	if j.written++; j.written > linesPerSecond {
+		j.dropped++
+		return false
+	}
+	return true
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,7 +13,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -162,18 +161,10 @@
 	n.callers = &callers{
 		names: &n.Headers, dispatch: d, quota: n.quota, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
-		closing: n.stopping.Load, backend: n.backendIP, observe: func(Observation) {},
+		closing: n.stopping.Load, observe: (&journal{log: n.Log, now: time.Now}).observe,
 	}
 }
 
-func (n *Node) backendIP() string {
-	a, err := netip.ParseAddrPort(n.settings().BackendAddress)
-	if err != nil {
-		return ""
-	}
-	return a.Addr().String()
-}
-
 // localInstance returns the ID of the instance at the backend server's
 // address.
 func (n *Node) localInstance() string {
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -23,6 +23,9 @@
 	// Instance is the ID of the instance that is to run the request.
 	Instance string
 	Deadline time.Time
+	// Objective is the time until which the answer is worth most; zero means
+	// until the deadline.
+	Objective time.Time
 	// Priority ranks the request, 0 first.
 	Priority int
 	// NoWait asks for a refusal in place of a place in the queue.
@@ -37,8 +40,11 @@
 const (
 	headerPriority = call.HeaderPrefix + "Priority"
 	headerNoWait   = call.HeaderPrefix + "No-Wait"
-	headerNested   = call.HeaderPrefix + "Nested"
-	headerRepeat   = call.HeaderPrefix + "Repeatable"
+	// headerObjective is the milliseconds to the objective, negative once it
+	// has passed.
+	headerObjective = call.HeaderPrefix + "Objective-Ms"
+	headerNested    = call.HeaderPrefix + "Nested"
+	headerRepeat    = call.HeaderPrefix + "Repeatable"
 	// headerAfter is the milliseconds after which a refused request may find
 	// room.
 	headerAfter = call.HeaderPrefix + "After-Ms"
@@ -48,7 +54,7 @@
 // betweenNodes lists the headers that only nodes set. What callers and backend
 // servers send under these names is dropped.
 var betweenNodes = []string{
-	headerPriority, headerNoWait, headerNested, headerRepeat, headerAfter,
+	headerPriority, headerObjective, headerNoWait, headerNested, headerRepeat, headerAfter,
 	call.HeaderNotRun, call.HeaderOutcome, call.HeaderLoad,
 }
 
@@ -108,6 +114,9 @@
 	h[names.Expected] = []string{r.Instance}
 	h[names.TimeLeft] = []string{milliseconds(r.Deadline.Sub(now))}
 	h[headerPriority] = []string{strconv.Itoa(r.Priority)}
+	if !r.Objective.IsZero() {
+		h[headerObjective] = []string{strconv.FormatInt(r.Objective.Sub(now).Milliseconds(), 10)}
+	}
 	for _, f := range []struct {
 		name string
 		set  bool
@@ -136,6 +145,13 @@
 		NoWait:   in.Header.Get(headerNoWait) != "", Nested: in.Header.Get(headerNested) != "",
 		Repeatable: in.Header.Get(headerRepeat) != "",
 	}
+	if v := in.Header.Get(headerObjective); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 32)
+		if err != nil {
+			return nil, &call.NotRun{Reason: "BadHeader"}
+		}
+		r.Objective = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	r.Header = make(http.Header, len(in.Header))
 	for k, v := range in.Header {
 		r.Header[k] = v
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -177,30 +177,81 @@
 	return busy / permits
 }
 
-// choose takes the less loaded of two random hosts, or the least loaded of
-// all when both are full.
+// sampled is the number of random hosts that one choice compares.
+const sampled = 4
+
+// choose takes the host with the least cost of a few random ones, or of all
+// when these are full.
 func (c *Chooser) choose(all []*peer, now time.Time) *peer {
-	if len(all) == 1 {
-		return all[0]
+	usual := usualLatency(all)
+	best, load := c.least(c.sample(all), usual, now)
+	if load >= 1 {
+		best, _ = c.least(all, usual, now)
 	}
-	i := c.Rand.IntN(len(all))
-	j := c.Rand.IntN(len(all) - 1)
-	if j >= i {
-		j++
+	return best
+}
+
+// sample returns some random hosts, all if there are few.
+func (c *Chooser) sample(all []*peer) []*peer {
+	if len(all) <= sampled {
+		return all
 	}
-	best, load := all[i], all[i].busy(now)/all[i].permits()
-	if l := all[j].busy(now) / all[j].permits(); l < load {
-		best, load = all[j], l
+	some := make([]*peer, 0, sampled)
+	for _, i := range c.Rand.Perm(len(all))[:sampled] {
+		some = append(some, all[i])
 	}
-	if load < 1 {
-		return best
+	return some
+}
+
+// least returns the host with the least cost and its load. Equal ones are
+// taken by chance.
+func (c *Chooser) least(all []*peer, usual time.Duration, now time.Time) (*peer, float64) {
+	var best *peer
+	var cost, load float64
+	for k, i := range c.Rand.Perm(len(all)) {
+		p := all[i]
+		l := p.busy(now) / p.permits()
+		if x := p.cost(l, usual); k == 0 || x < cost {
+			best, cost, load = p, x, l
+		}
 	}
+	return best, load
+}
+
+const (
+	// queueCost is the cost of each further load beyond fullLoad, in running
+	// times: what does not run at once waits for what runs.
+	queueCost = 3
+	fullLoad  = 0.9
+	// leastRatio and mostRatio bound how much a host's latency counts beside
+	// the usual one, so that a few odd answers neither draw nor bar all calls.
+	leastRatio = 0.5
+	mostRatio  = 4
+)
+
+// cost estimates how long a call takes at a load, in usual running times.
+func (p *peer) cost(load float64, usual time.Duration) float64 {
+	ratio := 1.0
+	if p.latency > 0 && usual > 0 {
+		ratio = min(max(float64(p.latency)/float64(usual), leastRatio), mostRatio)
+	}
+	return ratio * (1 + load*load/2 + queueCost*max(0, load-fullLoad))
+}
+
+// usualLatency returns the mean latency of the hosts that have answered.
+func usualLatency(all []*peer) time.Duration {
+	var sum time.Duration
+	n := 0
 	for _, p := range all {
-		if l := p.busy(now) / p.permits(); l < load {
-			best, load = p, l
+		if p.latency > 0 {
+			sum += p.latency
+			n++
 		}
 	}
-	return best
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
 }
 
 // Started records that a call was sent to the host.
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -24,6 +24,12 @@
 	// lateShare is the part of the usual running time, its inverse, that a
 	// request must have left when it starts.
 	lateShare = 4
+	// dueShare is the part of the usual running time, its inverse, that a
+	// request must have left to its objective when it starts.
+	dueShare = 2
+	// holdShare is the part of a request's time, its inverse, for which it
+	// waits beyond its objective.
+	holdShare = 3
 	// unknownSlots is assumed of a server that has not published its slots.
 	unknownSlots = 4
 )
@@ -32,12 +38,15 @@
 type Call struct {
 	// Priority ranks waiting requests, 0 first.
 	Priority int
+	// Objective is the time until which the answer is worth most; zero means
+	// that it is worth as much until the deadline.
+	Objective time.Time
 	// Deadline is the time after which no one waits for the answer.
 	Deadline time.Time
 	// NoWait refuses the request if it cannot run at once.
 	NoWait bool
-	// Nested requests belong to a request that already runs elsewhere. Among
-	// requests of one priority they go first.
+	// Nested requests belong to a request that already runs elsewhere. They go
+	// first: refusing one wastes what has run.
 	Nested bool
 }
 
@@ -165,12 +174,12 @@
 		return nil, d.start(now), nil
 	}
 	d.seq++
-	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{}), latest: c.Deadline.Add(-d.mean / lateShare)}
+	w := d.waiter(c, now)
 	wait := d.estimate(w, now)
 	switch {
 	case c.NoWait:
 		return nil, nil, &Refusal{Reason: Full, After: wait}
-	case now.Add(wait + d.mean/2).After(c.Deadline):
+	case now.Add(wait).After(w.latest):
 		return nil, nil, &Refusal{Reason: Overloaded, After: wait}
 	}
 	heap.Push(&d.waiting, w)
@@ -178,6 +187,26 @@
 	return w, nil, nil
 }
 
+// waiter returns a place in the queue. A request that cannot be answered
+// within its objective waits behind those that can, and not for long: in an
+// overload it would only be held and then refused.
+func (d *Door) waiter(c Call, now time.Time) *waiter {
+	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{}), latest: c.Deadline.Add(-d.mean / lateShare)}
+	if c.Objective.IsZero() {
+		w.due = w.latest
+		return w
+	}
+	w.due = c.Objective.Add(-d.mean / dueShare)
+	if hold := now.Add(c.Deadline.Sub(now) / holdShare); hold.Before(w.latest) {
+		w.latest = hold
+		if w.due.After(w.latest) {
+			w.latest = w.due
+		}
+	}
+	w.overdue = w.due.Before(now)
+	return w
+}
+
 // estimate returns how long a new request would wait.
 func (d *Door) estimate(w *waiter, now time.Time) time.Duration {
 	ahead := 1
@@ -204,9 +233,25 @@
 	w.refuse(&Refusal{Reason: r})
 }
 
+// demote puts requests behind all others whose objective can no longer be met.
+func (d *Door) demote(now time.Time) {
+	changed := false
+	for _, w := range d.waiting {
+		if !w.overdue && w.due.Before(now) {
+			w.overdue, changed = true, true
+		}
+	}
+	if changed {
+		heap.Init(&d.waiting)
+	}
+}
+
 // dispatch starts waiting requests while the server has room. Those that no
 // longer have the time to run are refused.
 func (d *Door) dispatch(now time.Time) {
+	if len(d.waiting) > 0 {
+		d.demote(now)
+	}
 	for len(d.waiting) > 0 && d.free(now) {
 		w := heap.Pop(&d.waiting).(*waiter)
 		if !now.Before(w.latest) {
--- a/pkg/door/queue.go
+++ b/pkg/door/queue.go
@@ -8,6 +8,10 @@
 	seq  uint64
 	// latest is when the request must have started to be answered in time.
 	latest time.Time
+	// due is when it must have started to meet its objective, overdue is set
+	// once that has passed.
+	due     time.Time
+	overdue bool
 	// index is the place in the heap.
 	index int
 	// ready is closed once pass or refusal is set.
@@ -21,16 +25,18 @@
 	close(w.ready)
 }
 
-// before orders waiting requests: by priority, those that a running request
-// needs, earliest deadline, arrival.
+// before orders waiting requests: those that running requests need, those that
+// can still meet their objective, priority, the nearest objective, arrival.
 func (w *waiter) before(o *waiter) bool {
 	switch {
-	case w.call.Priority != o.call.Priority:
-		return w.call.Priority < o.call.Priority
 	case w.call.Nested != o.call.Nested:
 		return w.call.Nested
-	case !w.call.Deadline.Equal(o.call.Deadline):
-		return w.call.Deadline.Before(o.call.Deadline)
+	case w.overdue != o.overdue:
+		return o.overdue
+	case w.call.Priority != o.call.Priority:
+		return w.call.Priority < o.call.Priority
+	case !w.due.Equal(o.due):
+		return w.due.Before(o.due)
 	}
 	return w.seq < o.seq
 }
