Admit to a door's queue by objective, spread of running times and earlier waits

Cause: in overload callers that came back took the places of fresh ones, and requests were started so late that most missed their objective.

--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	"quetzaldock.example/quetzaldock/pkg/config"
@@ -95,8 +96,12 @@
 	}
 }
 
-// storeFailed records that the store did not answer.
-func (n *Node) storeFailed(err error) {
+// storeFailed records that the store did not answer. An error after the end of
+// ctx says nothing of the store.
+func (n *Node) storeFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	n.directory.StoreLost()
 	if !n.storeDown.Swap(true) {
 		n.Log.Warn("store does not answer", "error", err)
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -49,6 +49,7 @@
 	// closing reports that the node is being stopped.
 	closing func() bool
 	observe func(o *Observation)
+	waits   waits
 }
 
 // An Observation describes one request that has ended.
@@ -196,20 +197,21 @@
 
 // limit sets the time at which the request ends.
 func (s *callers) limit(j *job, now time.Time) error {
-	d := defaultTimeout
+	d, waited := defaultTimeout, time.Duration(0)
 	if t := j.in.Header.Get(s.names.TimeLeft); t != "" {
 		ms, err := strconv.ParseFloat(t, 64)
 		if err != nil || !(ms > 0) {
 			return &rejection{http.StatusBadRequest, "BadTimeLeft", 0}
 		}
-		d = min(d, time.Duration(ms*float64(time.Millisecond)))
+		left := time.Duration(ms * float64(time.Millisecond))
+		d, waited = min(d, left), s.waits.before(j.route, left)
 	}
 	if t := j.route.TimeoutMs; t > 0 {
 		d = min(d, time.Duration(t)*time.Millisecond)
 	}
 	j.deadline = now.Add(d)
 	if t := j.route.ObjectiveMs; t > 0 && !j.nested {
-		j.objective = now.Add(time.Duration(t) * time.Millisecond)
+		j.objective = now.Add(time.Duration(t)*time.Millisecond - waited)
 	}
 	return nil
 }
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -80,7 +80,7 @@
 			n.accept(u, true)
 			return u.Revision, true
 		}
-		n.storeFailed(err)
+		n.storeFailed(ctx, err)
 		if !sleep(ctx, n.jitter(pause)) {
 			return 0, false
 		}
@@ -108,7 +108,7 @@
 			n.Log.Info("history of the store is gone", "after", after)
 			return
 		default:
-			n.storeFailed(err)
+			n.storeFailed(ctx, err)
 			sleep(ctx, n.jitter(pause))
 			pause = min(2*pause, retryMost)
 		}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -24,12 +24,17 @@
 	// lateShare is the part of the usual running time, its inverse, that a
 	// request must have left when it starts.
 	lateShare = 4
-	// dueShare is the part of the usual running time, its inverse, that a
-	// request must have left to its objective when it starts.
-	dueShare = 2
 	// holdShare is the part of a request's time, its inverse, for which it
 	// waits beyond its objective.
 	holdShare = 3
+	// luckWeight is the weight of one request that waited beyond its objective
+	// in the share of those that are served.
+	luckWeight = 1.0 / 8
+	// leastLuck is the share of such requests that must be served lately for
+	// another one to be let wait, and luckReturns the time after which it is
+	// tried again.
+	leastLuck   = 0.6
+	luckReturns = 500 * time.Millisecond
 	// unknownSlots is assumed of a server that has not published its slots.
 	unknownSlots = 4
 )
@@ -78,9 +83,15 @@
 	coldPerSecond float64
 	// starts holds the times of the starts of the last coldWindow.
 	starts []time.Time
-	// mean is the moving average of the time a request runs.
-	mean time.Duration
-	stop func() bool
+	// mean is the moving average of the time a request runs, spread that of
+	// the distance from it.
+	mean   time.Duration
+	spread time.Duration
+	// luck is the share of requests beyond their objective that are served in
+	// the end, as last measured at luckAt.
+	luck   float64
+	luckAt time.Time
+	stop   func() bool
 }
 
 // New returns an open door to a server with unknown slots.
@@ -88,7 +99,7 @@
 	return &Door{
 		Now:   time.Now,
 		After: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
-		slots: unknownSlots, mean: firstEstimate,
+		slots: unknownSlots, mean: firstEstimate, luck: 1,
 	}
 }
 
@@ -176,11 +187,15 @@
 	d.seq++
 	w := d.waiter(c, now)
 	wait := d.estimate(w, now)
-	switch {
-	case c.NoWait:
+	if c.NoWait {
 		return nil, nil, &Refusal{Reason: Full, After: wait}
-	case now.Add(wait).After(w.latest):
-		return nil, nil, &Refusal{Reason: Overloaded, After: wait}
+	}
+	if start := now.Add(wait); start.After(w.due) {
+		// Behind all that can meet their objective.
+		w.overdue = !c.Nested
+		if start.After(w.latest) || (w.overdue && !d.lucky(now)) {
+			return nil, nil, &Refusal{Reason: Overloaded, After: max(wait, w.hold)}
+		}
 	}
 	heap.Push(&d.waiting, w)
 	d.arm(now)
@@ -191,22 +206,44 @@
 // within its objective waits behind those that can, and not for long: in an
 // overload it would only be held and then refused.
 func (d *Door) waiter(c Call, now time.Time) *waiter {
-	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{}), latest: c.Deadline.Add(-d.mean / lateShare)}
+	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{})}
+	w.latest = c.Deadline.Add(-d.mean / lateShare)
+	w.hold = c.Deadline.Sub(now) / holdShare
 	if c.Objective.IsZero() {
 		w.due = w.latest
 		return w
 	}
-	w.due = c.Objective.Add(-d.mean / dueShare)
-	if hold := now.Add(c.Deadline.Sub(now) / holdShare); hold.Before(w.latest) {
+	w.due = c.Objective.Add(-d.mean - d.spread)
+	if hold := now.Add(w.hold); hold.Before(w.latest) {
 		w.latest = hold
-		if w.due.After(w.latest) {
-			w.latest = w.due
-		}
 	}
-	w.overdue = w.due.Before(now)
+	if w.due.After(w.latest) {
+		w.due = w.latest
+	}
 	return w
 }
 
+// lucky reports whether requests beyond their objective are served lately.
+func (d *Door) lucky(now time.Time) bool {
+	return d.luck >= leastLuck || now.Sub(d.luckAt) > luckReturns
+}
+
+// tell records whether a request beyond its objective was served.
+func (d *Door) tell(w *waiter, served bool, now time.Time) {
+	if !w.overdue {
+		return
+	}
+	x := 0.0
+	if served {
+		x = 1
+	}
+	if now.Sub(d.luckAt) > luckReturns {
+		d.luck = max(d.luck, leastLuck)
+	}
+	d.luck += luckWeight * (x - d.luck)
+	d.luckAt = now
+}
+
 // estimate returns how long a new request would wait.
 func (d *Door) estimate(w *waiter, now time.Time) time.Duration {
 	ahead := 1
@@ -230,6 +267,7 @@
 		return
 	}
 	heap.Remove(&d.waiting, w.index)
+	d.tell(w, false, d.Now())
 	w.refuse(&Refusal{Reason: r})
 }
 
@@ -237,7 +275,7 @@
 func (d *Door) demote(now time.Time) {
 	changed := false
 	for _, w := range d.waiting {
-		if !w.overdue && w.due.Before(now) {
+		if !w.overdue && !w.call.Nested && w.due.Before(now) {
 			w.overdue, changed = true, true
 		}
 	}
@@ -255,9 +293,11 @@
 	for len(d.waiting) > 0 && d.free(now) {
 		w := heap.Pop(&d.waiting).(*waiter)
 		if !now.Before(w.latest) {
+			d.tell(w, false, now)
 			w.refuse(&Refusal{Reason: Late})
 			continue
 		}
+		d.tell(w, true, now)
 		w.pass = d.start(now)
 		close(w.ready)
 	}
@@ -355,7 +395,9 @@
 	d.running--
 	now := d.Now()
 	if ran {
-		d.mean += time.Duration(estimateWeight * float64(now.Sub(p.begun)-d.mean))
+		off := now.Sub(p.begun) - d.mean
+		d.mean += time.Duration(estimateWeight * float64(off))
+		d.spread += time.Duration(estimateWeight * float64(max(off, -off)-d.spread))
 	}
 	d.dispatch(now)
 }
--- a/pkg/door/queue.go
+++ b/pkg/door/queue.go
@@ -12,6 +12,8 @@
 	// once that has passed.
 	due     time.Time
 	overdue bool
+	// hold is for how long it waits beyond its objective.
+	hold time.Duration
 	// index is the place in the heap.
 	index int
 	// ready is closed once pass or refusal is set.
