--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -41,13 +41,14 @@
 	self string
 	// pickService chooses one of a route's services by weight.
 	pickService func(j *job) string
+	sizes       sizes
 }
 
 // do has a request run and returns the answer, whose body is whole or streams.
 // The error is a *door.Refusal if no instance has run the request, else a
 // *call.Unknown.
 func (d *dispatcher) do(ctx context.Context, j *job) (*http.Response, error) {
-	t := &trial{d: d, j: j, service: d.pickService(j)}
+	t := &trial{d: d, j: j, service: d.pickService(j), crossing: d.sizes.crossing(j.route)}
 	if !j.nested {
 		d.budget.Earned(t.service)
 	}
@@ -67,6 +68,8 @@
 	d       *dispatcher
 	j       *job
 	service string
+	// crossing is the cost of a host in another zone, see balance.PickNear.
+	crossing float64
 	// tried holds the hosts that are not asked again.
 	tried []string
 	// sends counts requests to doors, runs those that reached an instance.
@@ -108,7 +111,7 @@
 // pick returns the next host, and whether the request may wait there.
 func (t *trial) pick() (to balance.Target, wait, ok bool) {
 	if len(t.full) < doorsAsked {
-		if to, ok = t.d.chooser.Pick(t.service, t.tried); ok {
+		if to, ok = t.d.chooser.PickNear(t.service, t.tried, t.crossing); ok {
 			return to, false, true
 		}
 	}
@@ -152,6 +155,9 @@
 	if err == nil && a.StatusCode < http.StatusInternalServerError && !wait {
 		d.chooser.Observed(to.ID, d.now().Sub(began))
 	}
+	if err == nil && a.ContentLength >= 0 {
+		d.sizes.observe(j.route, a.ContentLength)
+	}
 	var f *door.Refusal
 	if errors.As(err, &f) && f.Reason == door.Full {
 		t.full = append(t.full, fullDoor{to, f.After})
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -101,6 +101,36 @@
 	return c.choose(all, now).Target, true
 }
 
+// PickNear is Pick for calls whose crossing to another zone has a cost of its
+// own, in usual running times. A host elsewhere is taken where the own zone's
+// are busier by more than that.
+func (c *Chooser) PickNear(service string, exclude []string, crossing float64) (Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	all := c.eligible(service, exclude, now)
+	if len(all) == 0 {
+		return Target{}, false
+	}
+	local := c.local(all)
+	some := append(c.sample(local), c.sample(c.remote(all))...)
+	best, load := c.least(some, usualLatency(all), crossing, now)
+	if load >= 1 && len(some) < len(all) {
+		best, _ = c.least(all, usualLatency(all), crossing, now)
+	}
+	return best.Target, true
+}
+
+func (c *Chooser) remote(all []*peer) []*peer {
+	var out []*peer
+	for _, p := range all {
+		if p.Zone != c.Zone {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // eligible returns the hosts that may get the call. Hosts that are ejected,
 // closed or on their ramp come back in when no other is left.
 func (c *Chooser) eligible(service string, exclude []string, now time.Time) []*peer {
@@ -184,9 +214,9 @@
 // when these are full.
 func (c *Chooser) choose(all []*peer, now time.Time) *peer {
 	usual := usualLatency(all)
-	best, load := c.least(c.sample(all), usual, now)
+	best, load := c.least(c.sample(all), usual, 0, now)
 	if load >= 1 {
-		best, _ = c.least(all, usual, now)
+		best, _ = c.least(all, usual, 0, now)
 	}
 	return best
 }
@@ -204,14 +234,18 @@
 }
 
 // least returns the host with the least cost and its load. Equal ones are
-// taken by chance.
-func (c *Chooser) least(all []*peer, usual time.Duration, now time.Time) (*peer, float64) {
+// taken by chance. crossing is the cost of a host in another zone.
+func (c *Chooser) least(all []*peer, usual time.Duration, crossing float64, now time.Time) (*peer, float64) {
 	var best *peer
 	var cost, load float64
 	for k, i := range c.Rand.Perm(len(all)) {
 		p := all[i]
 		l := p.busy(now) / p.permits()
-		if x := p.cost(l, usual); k == 0 || x < cost {
+		x := p.cost(l, usual)
+		if p.Zone != c.Zone {
+			x += crossing
+		}
+		if k == 0 || x < cost {
 			best, cost, load = p, x, l
 		}
 	}
