--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,6 +49,7 @@
 type Node struct {
 	Settings Settings
 	Bounds   Bounds
+	StopPlan StopPlan
 	Headers  Headers
 	Source   Source
 	// ReadyPath is where the deployment asks whether callers may use the node.
@@ -90,7 +91,7 @@
 	l := new(slog.LevelVar)
 	_ = l.UnmarshalText([]byte(s.LogLevel))
 	n := &Node{
-		Settings: s, Bounds: DefaultBounds(), suspected: make(chan struct{}, 1),
+		Settings: s, Bounds: DefaultBounds(), StopPlan: DefaultStopPlan(), suspected: make(chan struct{}, 1),
 		Level: l,
 		Log:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l})),
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -8,17 +8,21 @@
 	"quetzaldock.example/quetzaldock/pkg/door"
 )
 
-const (
-	// doorOpenFor is how long after the request to stop the node still passes
-	// requests on to the local backend server.
-	doorOpenFor = 1500 * time.Millisecond
-	// callersFor is how long it still takes new requests of callers. The
-	// deployment asks for readiness once a second and moves callers after two
-	// misses.
-	callersFor = 2500 * time.Millisecond
-	// stopSpare is kept of the time until the process is killed.
-	stopSpare = 900 * time.Millisecond
-)
+// A StopPlan says how long a node that was asked to stop goes on with what.
+type StopPlan struct {
+	// Door is how long requests are still passed on to the local backend server.
+	Door time.Duration
+	// Callers is how long new requests of callers are taken. The deployment
+	// asks for readiness once a second and moves callers after two misses.
+	Callers time.Duration
+	// Spare is kept of the time until the process is killed.
+	Spare time.Duration
+}
+
+// DefaultStopPlan fits a deployment that asks for readiness once a second.
+func DefaultStopPlan() StopPlan {
+	return StopPlan{Door: 1500 * time.Millisecond, Callers: 2500 * time.Millisecond, Spare: 900 * time.Millisecond}
+}
 
 // stop ends the node in order: callers are told to go elsewhere, then the door
 // closes, then the listeners, and what runs is finished.
@@ -26,11 +30,11 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.Log.Info("stopping")
-	time.Sleep(doorOpenFor)
+	time.Sleep(n.StopPlan.Door)
 	n.doorClosed.Store(true)
 	n.door.Close(door.Leaving)
-	time.Sleep(time.Until(began.Add(callersFor)))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.Stop-stopSpare))
+	time.Sleep(time.Until(began.Add(n.StopPlan.Callers)))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.Stop-n.StopPlan.Spare))
 	defer cancel()
 	var w sync.WaitGroup
 	for _, l := range s.all() {
