--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -48,6 +48,8 @@
 	service func() string
 	// closing reports that the node is being stopped.
 	closing func() bool
+	// crowded reports that callers hold many connections.
+	crowded func() bool
 	observe func(o *Observation)
 	waits   waits
 }
@@ -162,6 +164,11 @@
 	j.route, j.priority, j.version = route, route.Priority, v.Version
 	j.repeatable = route.CanRepeat(call.IsIdempotentMethod(in.Method))
 	j.nested = route.Open && in.Header.Get(s.names.Key) == ""
+	if j.nested && s.names.ParentOf != nil {
+		if p, ok := s.dispatch.local.running.priority(s.names.ParentOf(in.Header.Get(s.names.RequestID))); ok {
+			j.priority = p
+		}
+	}
 	if err := s.identify(j, v); err != nil {
 		return j, err
 	}
@@ -210,7 +217,7 @@
 		d = min(d, time.Duration(t)*time.Millisecond)
 	}
 	j.deadline = now.Add(d)
-	if t := j.route.ObjectiveMs; t > 0 && !j.nested {
+	if t := j.route.ObjectiveMs; t > 0 {
 		j.objective = now.Add(time.Duration(t)*time.Millisecond - waited)
 	}
 	return nil
@@ -250,6 +257,9 @@
 	if id := in.Header[s.names.RequestID]; len(id) > 0 {
 		h[s.names.RequestID] = id
 	}
+	if s.crowded() {
+		h.Set("Connection", "close")
+	}
 	if r.after > 0 {
 		h.Set("Retry-After", seconds(spread(r.after)))
 	}
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -5,6 +5,9 @@
 type Headers struct {
 	// RequestID names one try of a caller. Backend servers echo it.
 	RequestID string
+	// ParentOf returns the ID of the request for which a backend server made
+	// the one with the ID, empty if the ID does not tell.
+	ParentOf func(id string) string
 	// TimeLeft is the milliseconds for which the sender still waits.
 	TimeLeft string
 	// Key is the caller's key and nothing else. It goes no further than the
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -19,11 +19,12 @@
 // A local runs requests at the backend server of this host. Its fields are set
 // before first use.
 type local struct {
-	names *Headers
-	door  *door.Door
-	pool  *http1.Pool
-	log   *slog.Logger
-	now   func() time.Time
+	names   *Headers
+	door    *door.Door
+	pool    *http1.Pool
+	log     *slog.Logger
+	now     func() time.Time
+	running running
 	// instance returns the ID of the instance that has the backend server's
 	// address; empty if none is known.
 	instance func() string
@@ -57,23 +58,36 @@
 	}
 	h[l.names.Expected] = []string{r.Instance}
 	h[l.names.TimeLeft] = []string{milliseconds(left)}
+	remove := l.running.add(r.Header.Get(l.names.RequestID), r.Priority)
+	done := func(ran bool) {
+		remove()
+		p.Done(ran)
+	}
+	a, err := l.exchange(ctx, r, h)
+	if err != nil {
+		done(false)
+		return nil, err
+	}
+	call.StripHop(a.Header)
+	stripBetweenNodes(a.Header)
+	a.Body = &passBody{ReadCloser: a.Body, done: done, ran: a.Header.Get(l.names.NotExecuted) == ""}
+	return a, nil
+}
+
+// exchange sends a request with the headers to the server.
+func (l *local) exchange(ctx context.Context, r *Request, h http.Header) (*http.Response, error) {
 	send := l.pool.DoOnce
 	if r.Repeatable {
 		send = l.pool.Do
 	}
 	a, err := send(ctx, r.outgoing(h))
 	if err != nil {
-		p.Done(false)
 		return nil, l.failure(ctx, err)
 	}
 	if err := l.check(a, r); err != nil {
 		_ = a.Body.Close()
-		p.Done(false)
 		return nil, err
 	}
-	call.StripHop(a.Header)
-	stripBetweenNodes(a.Header)
-	a.Body = &passBody{ReadCloser: a.Body, pass: p, ran: a.Header.Get(l.names.NotExecuted) == ""}
 	return a, nil
 }
 
@@ -108,10 +122,11 @@
 	return &call.Unknown{Reason: "no whole answer from the backend server", Cause: err}
 }
 
-// A passBody gives the request's pass back when the answer ends.
+// A passBody ends a request when its answer ends.
 type passBody struct {
 	io.ReadCloser
-	pass *door.Pass
+	// done is told once whether the server ran the request to its end.
+	done func(ran bool)
 	ran  bool
 	once sync.Once
 }
@@ -120,7 +135,7 @@
 func (b *passBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.done(b.ran && errors.Is(err, io.EOF))
+		b.once.Do(func() { b.done(b.ran && errors.Is(err, io.EOF)) })
 	}
 	return n, err
 }
@@ -128,8 +143,6 @@
 // Close implements io.Closer.
 func (b *passBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.done(false)
+	b.once.Do(func() { b.done(false) })
 	return err
 }
-
-func (b *passBody) done(ran bool) { b.once.Do(func() { b.pass.Done(ran) }) }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -72,7 +72,9 @@
 	local     *local
 	peers     *peers
 	callers   *callers
-	splits    splitter
+	// connections are those of the callers.
+	connections connections
+	splits      splitter
 
 	// listed is set once the store was read whole.
 	listed atomic.Bool
@@ -138,6 +140,7 @@
 
 func (n *Node) build() {
 	s := n.settings()
+	n.connections.most, n.connections.now = s.MaxConnections, time.Now
 	n.directory = fleet.New(n.Bounds.LapseGrace)
 	n.chooser = balance.New(s.Zone)
 	n.budget = balance.NewRetryBudget()
@@ -162,7 +165,7 @@
 	n.callers = &callers{
 		names: &n.Headers, dispatch: d, quota: n.quota, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
-		closing: n.stopping.Load, observe: (&journal{log: n.Log, now: time.Now}).observe,
+		closing: n.stopping.Load, crowded: n.connections.crowded, observe: (&journal{log: n.Log, now: time.Now}).observe,
 	}
 }
 
@@ -197,10 +200,20 @@
 		case <-t.C:
 			n.directory.Tick()
 			n.peers.pools.Sweep(time.Now().Add(-idleFor))
+			n.connections.sweep(n.idleLimit())
 		}
 	}
 }
 
+// idleLimit is how long a caller's connection may stay without a request.
+func (n *Node) idleLimit() time.Duration {
+	v := n.snapshot.Load()
+	if v == nil || v.CallerLimits.IdleMs == 0 {
+		return idleTimeout
+	}
+	return time.Duration(v.CallerLimits.IdleMs) * time.Millisecond
+}
+
 // applyFleet hands what is known of the instances to those who decide by it.
 func (n *Node) applyFleet() {
 	v := n.directory.View()
@@ -293,6 +306,7 @@
 			ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 		}, b}
 	}
+	v.callers.server.ConnState = n.connections.state
 	return v, nil
 }
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -53,6 +53,9 @@
 	PlatformURL string
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int
+	// MaxConnections is the number of callers' connections above which idle ones
+	// are closed.
+	MaxConnections int
 	// LogLevel is Debug, Info, Warn or Error.
 	LogLevel string
 	// Bounds are the bounds that the deployment states, in its own words:
@@ -126,7 +129,7 @@
 	if len(b) > settingsBytes {
 		return nil, BadSettings.New("settings are larger than %d bytes", settingsBytes)
 	}
-	s := &Settings{LogLevel: "Info", MemoryMB: 128}
+	s := &Settings{LogLevel: "Info", MemoryMB: 128, MaxConnections: defaultConnections}
 	var f Faults
 	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
 	if err := d.Decode(s); err != nil {
@@ -159,12 +162,18 @@
 	if s.MemoryMB < minMemoryMB {
 		f = append(f, Fault{"MemoryMB", fmt.Sprintf("must be at least %d", minMemoryMB)})
 	}
+	if s.MaxConnections < 1 {
+		f = append(f, Fault{"MaxConnections", "must be at least 1"})
+	}
 	return f
 }
 
 // equal reports whether both hold the same values.
 func (s *Settings) equal(o *Settings) bool { return reflect.DeepEqual(s, o) }
 
+// defaultConnections take about 11 MB at 18 KB each.
+const defaultConnections = 600
+
 // minMemoryMB is what a node needs to start and apply a configuration.
 const minMemoryMB = 32
 
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -242,7 +242,8 @@
 		p := all[i]
 		l := p.busy(now) / p.permits()
 		x := p.cost(l, usual)
-		if p.Zone != c.Zone {
+		if p.Zone != c.Zone && p.latency > 0 {
+			// A host that has not answered yet is tried wherever it is.
 			x += crossing
 		}
 		if k == 0 || x < cost {
@@ -265,7 +266,7 @@
 
 // cost estimates how long a call takes at a load, in usual running times.
 func (p *peer) cost(load float64, usual time.Duration) float64 {
-	ratio := 1.0
+	ratio := leastRatio
 	if p.latency > 0 && usual > 0 {
 		ratio = min(max(float64(p.latency)/float64(usual), leastRatio), mostRatio)
 	}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -50,8 +50,9 @@
 	Deadline time.Time
 	// NoWait refuses the request if it cannot run at once.
 	NoWait bool
-	// Nested requests belong to a request that already runs elsewhere. They go
-	// first: refusing one wastes what has run.
+	// Nested requests belong to a request that already runs elsewhere, whose
+	// priority they should have. Where all else is equal they go first:
+	// refusing one wastes what has run.
 	Nested bool
 }
 
@@ -192,8 +193,8 @@
 	}
 	if start := now.Add(wait); start.After(w.due) {
 		// Behind all that can meet their objective.
-		w.overdue = !c.Nested
-		if start.After(w.latest) || (w.overdue && !d.lucky(now)) {
+		w.overdue = true
+		if start.After(w.latest) || !d.lucky(now) {
 			return nil, nil, &Refusal{Reason: Overloaded, After: max(wait, w.hold)}
 		}
 	}
@@ -275,7 +276,7 @@
 func (d *Door) demote(now time.Time) {
 	changed := false
 	for _, w := range d.waiting {
-		if !w.overdue && !w.call.Nested && w.due.Before(now) {
+		if !w.overdue && w.due.Before(now) {
 			w.overdue, changed = true, true
 		}
 	}
--- a/pkg/door/queue.go
+++ b/pkg/door/queue.go
@@ -27,18 +27,18 @@
 	close(w.ready)
 }
 
-// before orders waiting requests: those that running requests need, those that
-// can still meet their objective, priority, the nearest objective, arrival.
+// before orders waiting requests: those that can still meet their objective,
+// priority, the nearest objective, those that running requests need, arrival.
 func (w *waiter) before(o *waiter) bool {
 	switch {
-	case w.call.Nested != o.call.Nested:
-		return w.call.Nested
 	case w.overdue != o.overdue:
 		return o.overdue
 	case w.call.Priority != o.call.Priority:
 		return w.call.Priority < o.call.Priority
 	case !w.due.Equal(o.due):
 		return w.due.Before(o.due)
+	case w.call.Nested != o.call.Nested:
+		return w.call.Nested
 	}
 	return w.seq < o.seq
 }
