--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
@@ -111,6 +110,6 @@
 // publishedCold applies what the local instance published of its start.
 func (n *Node) publishedCold(i *fleet.Instance) {
 	if s := n.ownService(); s != nil {
-		n.door.SetCold(time.Now().Add(i.ColdFor), s.ColdPerSecond)
+		n.setCold(i.ColdFor, s)
 	}
 }
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -152,12 +152,7 @@
 		a, err = t.judge(a)
 	}
 	d.chooser.Finished(to.ID, t.result(ctx, err), l)
-	if err == nil && a.StatusCode < http.StatusInternalServerError && !wait {
-		d.chooser.Observed(to.ID, d.now().Sub(began))
-	}
-	if err == nil && a.ContentLength >= 0 {
-		d.sizes.observe(j.route, a.ContentLength)
-	}
+	t.observe(ctx, to, a, err, wait, d.now().Sub(began))
 	var f *door.Refusal
 	if errors.As(err, &f) && f.Reason == door.Full {
 		t.full = append(t.full, fullDoor{to, f.After})
@@ -165,6 +160,20 @@
 	return a, err
 }
 
+// observe learns from the time and size of an answer. A wait in the queue says
+// nothing about the instance; no answer in time says that it is slow.
+func (t *trial) observe(ctx context.Context, to balance.Target, a *http.Response, err error, waited bool, took time.Duration) {
+	var u *call.Unknown
+	switch {
+	case err == nil && a.StatusCode < http.StatusInternalServerError && !waited,
+		errors.As(err, &u) && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		t.d.chooser.Observed(to.ID, took)
+	}
+	if err == nil && a.ContentLength >= 0 {
+		t.d.sizes.observe(t.j.route, a.ContentLength)
+	}
+}
+
 func (d *dispatcher) send(ctx context.Context, to balance.Target, r *Request) (*http.Response, balance.Load, error) {
 	if to.CallAddress != d.self {
 		return d.peers.do(ctx, to.CallAddress, r)
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -20,6 +20,9 @@
 	healthSoon = 200 * time.Millisecond
 	// healthTimeout bounds one question. Under load it waits for a slot.
 	healthTimeout = 900 * time.Millisecond
+	// usedColdOverage is the part of the tolerated overage of a cold server
+	// that its door uses.
+	usedColdOverage = 0.6
 	// coldUnknown is how long a server is taken for cold while it has not said
 	// how long it stays so.
 	coldUnknown = 3 * time.Second
@@ -85,14 +88,31 @@
 		n.Log.Warn("unreadable cold time of the backend server", "value", left)
 		return
 	}
-	n.door.SetCold(time.Now().Add(time.Duration(ms*float64(time.Millisecond))), s.ColdPerSecond)
+	n.setCold(time.Duration(ms*float64(time.Millisecond)), s)
+}
+
+// setCold limits the local server's requests for a time. The deployment states
+// by how much the limit of a cold server may be exceeded; the door uses part
+// of that, since its seconds and the server's do not begin together.
+func (n *Node) setCold(left time.Duration, s *config.Service) {
+	n.door.SetCold(time.Now().Add(left), s.ColdPerSecond*(1+usedColdOverage*n.Bounds.ColdOverage))
+}
+
+// connectionsClosed judges whether the local server was started anew.
+func (n *Node) connectionsClosed(count int) {
+	n.evidenceMu.Lock()
+	restarted := n.evidence.Closed(count, int(n.local.pool.Open()), time.Now())
+	n.evidenceMu.Unlock()
+	if restarted {
+		n.suspectRestart("connections closed")
+	}
 }
 
 // suspectRestart takes the local server for cold until it says otherwise.
 func (n *Node) suspectRestart(reason string) {
 	if s := n.ownService(); s != nil && s.ColdPerSecond > 0 && !n.door.Cold() {
 		n.Log.Info("backend server may have been started anew", "reason", reason)
-		n.door.SetCold(time.Now().Add(coldUnknown), s.ColdPerSecond)
+		n.setCold(coldUnknown, s)
 	}
 	n.askSoon()
 }
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -28,8 +28,8 @@
 	// instance returns the ID of the instance that has the backend server's
 	// address; empty if none is known.
 	instance func() string
-	// suspect is told that the server may have been started anew.
-	suspect func(reason string)
+	// closed is told that the server closed some connections.
+	closed func(n int)
 	// unreachable is told that the server took no connection.
 	unreachable func()
 }
@@ -117,7 +117,7 @@
 	case ctx.Err() != nil:
 		return &call.Unknown{Reason: "no answer in time", Cause: context.Cause(ctx)}
 	case errorx.IsOfType(err, http1.Reset):
-		l.suspect("connection reset")
+		l.closed(1)
 	}
 	return &call.Unknown{Reason: "no whole answer from the backend server", Cause: err}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -86,6 +86,9 @@
 	stopping   atomic.Bool
 	doorClosed atomic.Bool
 	suspected  chan struct{}
+
+	evidenceMu sync.Mutex
+	evidence   door.Evidence
 }
 
 // New returns a node for the settings.
@@ -153,9 +156,9 @@
 		pool: &http1.Pool{
 			MaxIdle:    idleToBackend,
 			Dial:       func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
-			IdleClosed: func(int) { n.suspectRestart("idle connection closed") },
+			IdleClosed: n.connectionsClosed,
 		},
-		instance: n.localInstance, suspect: n.suspectRestart,
+		instance: n.localInstance, closed: n.connectionsClosed,
 		unreachable: func() { n.setReachable(false) },
 	}
 	d := &dispatcher{
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -81,6 +81,9 @@
 	QuotaOverage float64
 	QuotaSlack   float64
 	QuotaWindow  time.Duration
+	// ColdOverage is the part by which a cold server may get more requests a
+	// second than its service states.
+	ColdOverage float64
 	// LapseGrace is how long entries that lapsed in an outage of the store may
 	// take to come back.
 	LapseGrace time.Duration
@@ -92,7 +95,8 @@
 		Apply: 2 * time.Second, Drain: 2 * time.Second, Stop: 6 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 62, RetryWindow: 10 * time.Second,
 		QuotaOverage: 0.25, QuotaSlack: 20, QuotaWindow: 5 * time.Second,
-		LapseGrace: 2 * time.Second,
+		ColdOverage: 0.5,
+		LapseGrace:  2 * time.Second,
 	}
 }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -21,7 +21,7 @@
 
 // DefaultStopPlan fits a deployment that asks for readiness once a second.
 func DefaultStopPlan() StopPlan {
-	return StopPlan{Door: 1500 * time.Millisecond, Callers: 2500 * time.Millisecond, Spare: 900 * time.Millisecond}
+	return StopPlan{Door: 2200 * time.Millisecond, Callers: 2500 * time.Millisecond, Spare: 900 * time.Millisecond}
 }
 
 // stop ends the node in order: callers are told to go elsewhere, then the door
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -241,7 +241,7 @@
 	for k, i := range c.Rand.Perm(len(all)) {
 		p := all[i]
 		l := p.busy(now) / p.permits()
-		x := p.cost(l, usual)
+		x := p.cost(l, usual, now)
 		if p.Zone != c.Zone && p.latency > 0 {
 			// A host that has not answered yet is tried wherever it is.
 			x += crossing
@@ -262,17 +262,32 @@
 	// the usual one, so that a few odd answers neither draw nor bar all calls.
 	leastRatio = 0.5
 	mostRatio  = 4
+	// leastAged calls must run at a host for their age to count, and ageFactor
+	// makes the mean age of calls that run as long as each other their length.
+	leastAged = 2
+	ageFactor = 2
 )
 
 // cost estimates how long a call takes at a load, in usual running times.
-func (p *peer) cost(load float64, usual time.Duration) float64 {
+func (p *peer) cost(load float64, usual time.Duration, now time.Time) float64 {
 	ratio := leastRatio
 	if p.latency > 0 && usual > 0 {
-		ratio = min(max(float64(p.latency)/float64(usual), leastRatio), mostRatio)
+		l := max(p.latency, p.age(now))
+		ratio = min(max(float64(l)/float64(usual), leastRatio), mostRatio)
 	}
 	return ratio * (1 + load*load/2 + queueCost*max(0, load-fullLoad))
 }
 
+// age returns how long the calls that run at the host have run, as the latency
+// that would let one see such ages: a host that stopped answering shows by them
+// before any of its calls ends.
+func (p *peer) age(now time.Time) time.Duration {
+	if p.inFlight < leastAged || p.begun.IsZero() {
+		return 0
+	}
+	return ageFactor * now.Sub(p.begun)
+}
+
 // usualLatency returns the mean latency of the hosts that have answered.
 func usualLatency(all []*peer) time.Duration {
 	var sum time.Duration
@@ -294,7 +309,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.peers[id]; p != nil {
+		now := c.Now()
+		if p.inFlight == 0 {
+			p.begun = now
+		}
 		p.inFlight++
+		p.begun = p.begun.Add(now.Sub(p.begun) / time.Duration(p.inFlight))
 	}
 }
 
@@ -309,6 +329,10 @@
 	}
 	now := c.Now()
 	p.inFlight = max(0, p.inFlight-1)
+	if p.inFlight > 0 {
+		// The call that ends is taken for one as old as the mean twice over.
+		p.begun = p.begun.Add(min(now.Sub(p.begun)/time.Duration(p.inFlight), now.Sub(p.begun)))
+	}
 	if l.Permits > 0 {
 		p.load, p.own, p.loadAt = l, p.inFlight, now
 	}
@@ -327,7 +351,7 @@
 }
 
 // latencyWeight is the weight of a new latency in a host's moving average.
-const latencyWeight = 1.0 / 16
+const latencyWeight = 1.0 / 10
 
 // Observed records how long a good answer of the host took.
 func (c *Chooser) Observed(id string, latency time.Duration) {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -64,6 +64,8 @@
 	rampFrom time.Time
 	// latency is the moving average of good answers, zero before the first.
 	latency time.Duration
+	// begun is the mean start of the calls in flight.
+	begun time.Time
 }
 
 // permits returns the host's concurrency limit; an unknown one is small.
