--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -80,6 +80,14 @@
 	return out.body, err
 }
 
+// Updates asks for what was published. The call may take the time that the
+// request lets the peer wait, and UpdatesSlack more.
+func (c *Client) Updates(ctx context.Context, to hosts.Host, q UpdatesRequest) (UpdatesReply, error) {
+	var out UpdatesReply
+	wait := time.Duration(q.WaitMs) * time.Millisecond
+	return out, c.call(ctx, to, rpcUpdates, wait+UpdatesSlack, &q, &out)
+}
+
 // Close closes idle connections; calls that end later close theirs.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,7 @@
 	rpcPull     = "Pull"
 	rpcPush     = "Push"
 	rpcQuota    = "Quota"
+	rpcUpdates  = "Updates"
 )
 
 const (
@@ -59,6 +60,7 @@
 	Pull     func(ctx context.Context, from string, in spread.PullRequest) (spread.PullReply, error)
 	Quota    func(ctx context.Context, from string, body []byte) ([]byte, error)
 	Claim    func(ctx context.Context, from string, in ClaimRequest) (ClaimReply, error)
+	Updates  func(ctx context.Context, in UpdatesRequest) (UpdatesReply, error)
 
 	admission spread.Admission
 }
@@ -178,6 +180,11 @@
 			out, err := s.Claim(ctx, from, *in)
 			return &out, err
 		})
+	case rpc == rpcUpdates && s.Updates != nil:
+		return handle(stream, func(in *UpdatesRequest) (any, error) {
+			out, err := s.Updates(ctx, *in)
+			return &out, err
+		})
 	}
 	return Unknown.New("%s", rpc)
 }
--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"context"
-
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 	"quetzaldock.example/quetzaldock/pkg/split"
@@ -15,13 +13,14 @@
 	percent    = 100
 )
 
-// accept applies what a read of the store returned; whole tells a listing of
-// everything from a list of changes.
-func (n *Node) accept(u *Update, whole bool) {
-	if whole {
+// accept applies what a read returned and hands it on.
+func (n *Node) accept(u *Update) {
+	n.acceptMu.Lock()
+	defer n.acceptMu.Unlock()
+	if u.Whole {
 		n.directory.Replace(u.Changes)
 		n.listed.Store(true)
-	} else {
+	} else if len(u.Changes) > 0 {
 		n.directory.Apply(u.Changes)
 	}
 	for i := range u.Changes {
@@ -36,6 +35,7 @@
 	if u.Published != nil {
 		n.acceptConfig(u.Published)
 	}
+	n.record(u)
 }
 
 // acceptConfig puts a published configuration in force if it is newer than
@@ -55,6 +55,7 @@
 		return
 	}
 	n.snapshot.Store(v)
+	n.published = p
 	n.quota.Configure(limits(v))
 	n.Log.Info("configuration in force", "version", v.Version, "routes", len(v.Routes), "accounts", len(v.Accounts))
 	n.applyFleet()
@@ -87,26 +88,6 @@
 	n.budget.SetMost(budgetPart * n.Bounds.RetryExtra / float64(max(1, nodes)))
 }
 
-// storeAnswered records that the store answers.
-func (n *Node) storeAnswered() {
-	n.directory.StoreBack()
-	if n.storeDown.Swap(false) {
-		n.Log.Info("store answers again")
-	}
-}
-
-// storeFailed records that the store did not answer. An error after the end of
-// ctx says nothing of the store.
-func (n *Node) storeFailed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	n.directory.StoreLost()
-	if !n.storeDown.Swap(true) {
-		n.Log.Warn("store does not answer", "error", err)
-	}
-}
-
 // publishedCold applies what the local instance published of its start.
 func (n *Node) publishedCold(i *fleet.Instance) {
 	if s := n.ownService(); s != nil {
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -33,8 +33,10 @@
 	entries  map[string]fleet.Change
 	config   *Published
 	changed  chan struct{}
-	// fail, if set, is what every read returns.
-	fail error
+	// fail, if set, is what every read returns, or every read of the nodes in
+	// failFor if that is not empty.
+	fail    error
+	failFor map[string]bool
 }
 
 func newMemoryStore() *memoryStore {
@@ -65,23 +67,41 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *memoryStore) setFailure(err error) {
+func (s *memoryStore) setFailure(err error, nodes ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fail = err
+	s.fail, s.failFor = err, map[string]bool{}
+	for _, n := range nodes {
+		s.failFor[n] = true
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *memoryStore) source() Source {
-	return Source{List: s.list, Watch: s.watch}
+// source is the store as one node reads it.
+func (s *memoryStore) source(node string) Source {
+	return Source{
+		List: func(context.Context) (*Update, error) { return s.list(node) },
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) (*Update, error) {
+			return s.watch(ctx, node, after, wait)
+		},
+	}
 }
 
-func (s *memoryStore) list(context.Context) (*Update, error) {
+// failure returns what a read of the node fails with. The caller holds the
+// mutex.
+func (s *memoryStore) failure(node string) error {
+	if len(s.failFor) > 0 && !s.failFor[node] {
+		return nil
+	}
+	return s.fail
+}
+
+func (s *memoryStore) list(node string) (*Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fail != nil {
-		return nil, s.fail
+	if err := s.failure(node); err != nil {
+		return nil, err
 	}
 	u := &Update{Revision: s.revision, Published: s.config}
 	for _, c := range s.entries {
@@ -90,12 +110,12 @@
 	return u, nil
 }
 
-func (s *memoryStore) watch(ctx context.Context, after uint64, wait time.Duration) (*Update, error) {
+func (s *memoryStore) watch(ctx context.Context, node string, after uint64, wait time.Duration) (*Update, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
-		changed, fail := s.changed, s.fail
+		changed, fail := s.changed, s.failure(node)
 		u := &Update{Revision: s.revision}
 		for i := range s.log {
 			if s.log[i].Revision > after {
@@ -184,19 +204,22 @@
 }
 
 var (
-	hostsMu sync.Mutex
-	hosts   int
+	usedMu    sync.Mutex
+	usedHosts int
 )
 
 // nextHost returns a loopback address that no other test uses.
 func nextHost() string {
-	hostsMu.Lock()
-	defer hostsMu.Unlock()
-	hosts++
-	return fmt.Sprintf("127.7.%d.%d", hosts/250, 1+hosts%250)
+	usedMu.Lock()
+	defer usedMu.Unlock()
+	usedHosts++
+	return fmt.Sprintf("127.7.%d.%d", usedHosts/250, 1+usedHosts%250)
 }
 
-const testPort = "18366"
+const (
+	testPort        = "18366"
+	testControlPort = "18367"
+)
 
 func testDocument() config.Document {
 	number := func(n int) *int { return &n }
@@ -256,10 +279,10 @@
 	}
 	n := New(Settings{
 		Host: b.id, Service: "desk", Zone: "surco", CallerAddress: free(), CallAddress: host + ":" + testPort,
-		ReadyAddress: free(), ControlAddress: free(), BackendAddress: b.listener.Addr().String(),
+		ReadyAddress: free(), ControlAddress: host + ":" + testControlPort, BackendAddress: b.listener.Addr().String(),
 		PlatformURL: "http://127.0.0.1:1", MemoryMB: 128, MaxConnections: 600, LogLevel: "Info",
 	})
-	n.Headers, n.Source, n.ReadyPath = testHeaders, m.store.source(), "/ready"
+	n.Headers, n.Source, n.ReadyPath = testHeaders, m.store.source(b.id), "/ready"
 	n.StopPlan.Door, n.StopPlan.Callers = 50*time.Millisecond, 100*time.Millisecond
 	n.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -530,3 +553,35 @@
 		t.Fatal("the node does not stop")
 	}
 }
+
+// Guards against nodes that the store turns away and that miss what is
+// published, also right after their start.
+func TestNodesThatTheStoreTurnsAwayLearnFromOthers(t *testing.T) {
+	m := newMesh(t, 3)
+	m.store.setFailure(BadSettings.New("503"), "i-1", "i-2")
+	d := testDocument()
+	d.Routes = d.Routes[:2]
+	m.store.publish(&Published{Version: 9, Document: d})
+	for _, n := range m.nodes {
+		waitFor(t, "version 9 at "+n.Settings.Host, func() bool { return n.snapshot.Load().Version == 9 })
+	}
+	assert.Equal(t, m.ask(t, 1, http.MethodGet, "/open/1").status, http.StatusNotFound)
+}
+
+// Guards against an outage of the store that stops what is already served, and
+// against live instances that are given up because their entries lapsed.
+func TestOutageOfTheStore(t *testing.T) {
+	m := newMesh(t, 2)
+	m.store.setFailure(BadSettings.New("503"))
+	m.store.publish(nil, fleet.Change{Kind: fleet.InstanceGone, ID: "i-0"}, fleet.Change{Kind: fleet.InstanceGone, ID: "i-1"})
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, m.ask(t, 0, http.MethodGet, "/list/1").status, http.StatusOK)
+	m.store.setFailure(nil)
+	time.Sleep(700 * time.Millisecond)
+	m.store.publish(nil, m.backends[0].change("surco"))
+	assert.Equal(t, m.ask(t, 0, http.MethodGet, "/list/1").status, http.StatusOK)
+	waitFor(t, "end of the lapsed entry", func() bool {
+		v := m.nodes[0].directory.View()
+		return v.Instances["i-0"] != nil && v.Instances["i-1"] == nil
+	})
+}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -20,6 +20,7 @@
 	names *Headers
 	local *local
 	now   func() time.Time
+	heard *heard
 }
 
 // ServeHTTP implements http.Handler.
@@ -29,6 +30,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	s.heard.add(in.RemoteAddr)
 	b := call.NewBody(w, in)
 	defer b.Release()
 	r, err := fromNode(in, s.names, s.now())
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,10 +20,12 @@
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/door"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
 	"quetzaldock.example/quetzaldock/pkg/split"
 )
 
@@ -76,10 +78,21 @@
 	connections connections
 	splits      splitter
 
-	// listed is set once the store was read whole.
+	// acceptMu orders updates with the answers to nodes that ask for all.
+	acceptMu sync.Mutex
+	// published is the configuration in force as it was published.
+	published *Published
+	// log holds the updates for the nodes that read this one.
+	log        *relay.Log
+	control    *peer.Client
+	choiceMu   sync.Mutex
+	choice     relay.Choice
+	sourceDown atomic.Bool
+	// heard holds the hosts that sent requests, by IP address.
+	heard heard
+
+	// listed is set once everything was read.
 	listed atomic.Bool
-	// storeDown is set while the store does not answer.
-	storeDown atomic.Bool
 	// unreachable is set while the backend server takes no connection.
 	unreachable atomic.Bool
 	// stopping is set by a planned stop, doorClosed some time after it.
@@ -115,6 +128,11 @@
 	if err != nil {
 		return err
 	}
+	control, err := net.Listen("tcp", n.Settings.ControlAddress)
+	if err != nil {
+		servers.close()
+		return ListenFailed.Wrap(err, "cannot listen on %s", n.Settings.ControlAddress)
+	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties sync.WaitGroup
@@ -122,6 +140,11 @@
 	duties.Go(func() { n.watchHealth(inner) })
 	duties.Go(func() { n.tick(inner) })
 	duties.Go(func() { n.watchSettings(inner) })
+	duties.Go(func() {
+		if err := (&peer.Server{Updates: n.serveUpdates, Log: n.Log}).Serve(inner, control); err != nil {
+			n.Log.Error("control listener ended", "error", err)
+		}
+	})
 	for _, s := range servers.all() {
 		duties.Go(func() { _ = s.server.Serve(s.listener) })
 	}
@@ -130,6 +153,7 @@
 	n.stop(servers)
 	cancel()
 	duties.Wait()
+	n.control.Close()
 	n.peers.pools.Close()
 	n.local.pool.Close()
 	n.Log.Info("node stopped")
@@ -143,6 +167,8 @@
 
 func (n *Node) build() {
 	s := n.settings()
+	n.log, n.control = relay.New(), &peer.Client{Dial: DialTCP}
+	n.choice.Self = relay.Member{Address: s.ControlAddress, Zone: s.Zone}
 	n.connections.most, n.connections.now = s.MaxConnections, time.Now
 	n.directory = fleet.New(n.Bounds.LapseGrace)
 	n.chooser = balance.New(s.Zone)
@@ -208,6 +234,24 @@
 	}
 }
 
+// setMembers tells the choice of sources which nodes there are: those beside
+// instances, and those that sent requests.
+func (n *Node) setMembers(v *fleet.View) {
+	_, port, _ := net.SplitHostPort(n.settings().ControlAddress)
+	var all []relay.Member
+	for _, i := range v.Instances {
+		if host, _, err := net.SplitHostPort(i.Address); err == nil {
+			all = append(all, relay.Member{Address: net.JoinHostPort(host, port), Zone: i.Zone})
+		}
+	}
+	for _, host := range n.heard.hosts() {
+		all = append(all, relay.Member{Address: net.JoinHostPort(host, port)})
+	}
+	n.choiceMu.Lock()
+	defer n.choiceMu.Unlock()
+	n.choice.SetMembers(all)
+}
+
 // idleLimit is how long a caller's connection may stay without a request.
 func (n *Node) idleLimit() time.Duration {
 	v := n.snapshot.Load()
@@ -225,6 +269,7 @@
 	for _, i := range v.Instances {
 		nodes[i.Address] = true
 	}
+	n.setMembers(v)
 	n.quota.SetNodes(len(nodes))
 	n.setBudget(len(nodes))
 	if i := v.ByAddress[n.settings().BackendAddress]; i != nil {
@@ -279,13 +324,22 @@
 	callers, nodes, ready served
 }
 
+// close closes the listeners that are open.
+func (s *servers) close() {
+	for _, o := range s.all() {
+		if o.listener != nil {
+			_ = o.listener.Close()
+		}
+	}
+}
+
 func (s *servers) all() []served { return []served{s.callers, s.nodes, s.ready} }
 
 // listen binds all addresses.
 func (n *Node) listen() (*servers, error) {
 	s := n.settings()
 	v := &servers{}
-	inbound := &inbound{names: &n.Headers, local: n.local, now: time.Now}
+	inbound := &inbound{names: &n.Headers, local: n.local, now: time.Now, heard: &n.heard}
 	for _, l := range []struct {
 		to      *served
 		address string
@@ -297,11 +351,7 @@
 	} {
 		b, err := net.Listen("tcp", l.address)
 		if err != nil {
-			for _, o := range v.all() {
-				if o.listener != nil {
-					_ = o.listener.Close()
-				}
-			}
+			v.close()
 			return nil, ListenFailed.Wrap(err, "cannot listen on %s", l.address)
 		}
 		*l.to = served{&http.Server{
--- /dev/null
+++ b/internal/sidecar/relay.go
@@ -0,0 +1,160 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
+	"quetzaldock.example/quetzaldock/pkg/relay"
+)
+
+const (
+	// relayWait is how long another node may wait for something new. One that
+	// has died must be noticed well within the time for a configuration.
+	relayWait = 500 * time.Millisecond
+	// relayStale is the age of the store's last confirmation at which a node is
+	// no longer read: it has lost the store itself. It exceeds a watch.
+	relayStale = watchWait + watchSlack + 300*time.Millisecond
+	// relayBytes bounds an update after decompression.
+	relayBytes = 16 << 20
+)
+
+// ErrStale means that a node has no recent knowledge of the store.
+var ErrStale = namespace.NewType("stale")
+
+// errBadUpdate means that an update of another node cannot be read.
+var errBadUpdate = namespace.NewType("bad_update")
+
+var (
+	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(relayBytes), zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
+)
+
+// pack encodes an update for other nodes.
+func pack(u *Update) ([]byte, error) {
+	b, err := cbor.Marshal(u)
+	if err != nil {
+		return nil, errBadUpdate.Wrap(err, "encode")
+	}
+	return packer.EncodeAll(b, nil), nil
+}
+
+func unpack(b []byte) (*Update, error) {
+	plain, err := unpacker.DecodeAll(b, nil)
+	if err != nil {
+		return nil, errBadUpdate.Wrap(err, "decompress")
+	}
+	u := &Update{}
+	if err := cbor.Unmarshal(plain, u); err != nil {
+		return nil, errBadUpdate.Wrap(err, "decode")
+	}
+	return u, nil
+}
+
+// serveUpdates answers another node from what this one has received.
+func (n *Node) serveUpdates(ctx context.Context, q peer.UpdatesRequest) (peer.UpdatesReply, error) {
+	wait := time.NewTimer(min(time.Duration(q.WaitMs)*time.Millisecond, relayWait))
+	defer wait.Stop()
+	for {
+		entries, p, ok := n.log.Since(q.After)
+		out := peer.UpdatesReply{Revision: p.Revision, AgeMs: p.Age.Milliseconds(), Known: n.listed.Load()}
+		switch {
+		case !out.Known:
+			return out, nil
+		case q.Whole || !ok:
+			return n.everything(out)
+		case len(entries) > 0:
+			for _, e := range entries {
+				out.Bodies = append(out.Bodies, e.Body)
+			}
+			return out, nil
+		}
+		select {
+		case <-p.Changed:
+		case <-wait.C:
+			return out, nil
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+	}
+}
+
+// everything adds all that is known to a reply.
+func (n *Node) everything(out peer.UpdatesReply) (peer.UpdatesReply, error) {
+	n.acceptMu.Lock()
+	u := &Update{Published: n.published}
+	v := n.directory.View()
+	n.acceptMu.Unlock()
+	for _, i := range v.Instances {
+		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: *i})
+	}
+	for zone := range v.ZonesOut {
+		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.ZoneOut, Zone: zone})
+	}
+	b, err := pack(u)
+	out.Whole, out.Bodies = true, [][]byte{b}
+	return out, err
+}
+
+// fromNode returns another node as a source.
+func (n *Node) fromNode(address string) Source {
+	read := func(ctx context.Context, q peer.UpdatesRequest) (*Update, error) {
+		asked := time.Now()
+		r, err := n.control.Updates(ctx, hosts.Host{ID: address, ControlAddress: address}, q)
+		if err != nil {
+			return nil, err
+		}
+		age := time.Duration(r.AgeMs) * time.Millisecond
+		if !r.Known || age > relayStale {
+			return nil, ErrStale.New("node %s: known %t, %s old", address, r.Known, age)
+		}
+		return joinUpdates(r, asked.Add(-age))
+	}
+	return Source{
+		List: func(ctx context.Context) (*Update, error) {
+			return read(ctx, peer.UpdatesRequest{Whole: true})
+		},
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) (*Update, error) {
+			return read(ctx, peer.UpdatesRequest{After: after, WaitMs: min(wait, relayWait).Milliseconds()})
+		},
+	}
+}
+
+// joinUpdates makes one update of a reply.
+func joinUpdates(r peer.UpdatesReply, confirmed time.Time) (*Update, error) {
+	u := &Update{Revision: r.Revision, Whole: r.Whole, Confirmed: confirmed}
+	for _, b := range r.Bodies {
+		x, err := unpack(b)
+		if err != nil {
+			return nil, err
+		}
+		u.Changes = append(u.Changes, x.Changes...)
+		if x.Published != nil && (u.Published == nil || x.Published.Version > u.Published.Version) {
+			u.Published = x.Published
+		}
+	}
+	return u, nil
+}
+
+// record hands an update on to the nodes that read this one.
+func (n *Node) record(u *Update) {
+	switch {
+	case u.Whole:
+		n.log.Restart(u.Revision, u.Confirmed)
+	case len(u.Changes) == 0 && u.Published == nil:
+		n.log.Confirm(u.Revision, u.Confirmed)
+	default:
+		b, err := pack(&Update{Changes: u.Changes, Published: u.Published})
+		if err != nil {
+			n.Log.Error("update cannot be passed on; nodes that read this one read everything anew", "error", err)
+			n.log.Restart(u.Revision, u.Confirmed)
+			return
+		}
+		n.log.Append(relay.Entry{Revision: u.Revision, Body: b}, u.Confirmed)
+	}
+}
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -8,6 +8,7 @@
 
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
 )
 
 // A Source reads the store that publishes configuration and instances.
@@ -23,11 +24,15 @@
 // ErrCompacted means that the store no longer holds the history asked for.
 var ErrCompacted = namespace.NewType("compacted")
 
-// An Update is what one read of the store returned.
+// An Update is what one read returned.
 type Update struct {
 	// Revision is the store's; a watch goes on from it.
-	Revision uint64
-	Changes  []fleet.Change
+	Revision uint64 `cbor:"-"`
+	// Whole states that Changes are all entries, not what has changed.
+	Whole bool `cbor:"-"`
+	// Confirmed is when the store had this revision, at the latest.
+	Confirmed time.Time `cbor:"-"`
+	Changes   []fleet.Change
 	// Published is the newest configuration among the changes, or nil.
 	Published *Published
 }
@@ -37,7 +42,7 @@
 	Version  uint64
 	Document config.Document
 	// Fault is set if the bytes could not be read; Document is then empty.
-	Fault error
+	Fault error `cbor:"-"`
 }
 
 const (
@@ -49,68 +54,112 @@
 	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds a listing of all entries, several pages long.
 	listTimeout = 3 * time.Second
-	// retryFirst and retryMost bound the pause after a failed read.
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	// retryMost bounds the pause where no source answers.
+	retryMost = 500 * time.Millisecond
 	// gatherFor is the pause between a change and the next watch. What is
 	// published meanwhile comes with one read.
 	gatherFor = 100 * time.Millisecond
 )
 
-// follow keeps the node up to date with the store until ctx ends.
+// follow keeps the node up to date until ctx ends, from whatever source its
+// choice names.
 func (n *Node) follow(ctx context.Context) {
+	var revision uint64
+	known := false
 	for ctx.Err() == nil {
-		revision, ok := n.list(ctx)
-		if !ok {
+		from, wait := n.nextSource()
+		if wait > 0 && !sleep(ctx, min(wait, retryMost)) {
 			return
 		}
-		n.watch(ctx, revision)
+		u, err := n.read(ctx, from, revision, known)
+		if err == nil && u.Whole && u.Revision < revision {
+			err = ErrStale.New("everything as of revision %d after %d", u.Revision, revision)
+		}
+		switch {
+		case err == nil:
+			n.sourceWorked(from)
+			n.accept(u)
+			revision, known = max(revision, u.Revision), true
+			if from == relay.Store && (len(u.Changes) > 0 || u.Published != nil) {
+				sleep(ctx, gatherFor)
+			}
+		case errorx.IsOfType(err, ErrCompacted):
+			n.Log.Info("history is gone", "source", from, "after", revision)
+			known = false
+		default:
+			n.sourceFailed(ctx, from, err)
+		}
 	}
 }
 
-// list reads everything, again until that succeeds, and returns the store's
-// revision. It reports false when ctx ends.
-func (n *Node) list(ctx context.Context) (uint64, bool) {
-	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
+// read asks a source for everything, or for what came after a revision.
+func (n *Node) read(ctx context.Context, from string, after uint64, known bool) (*Update, error) {
+	s := n.Source
+	if from != relay.Store {
+		s = n.fromNode(from)
+	}
+	asked := time.Now()
+	var u *Update
+	var err error
+	if known {
+		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		defer cancel()
+		u, err = s.Watch(c, after, watchWait)
+	} else {
 		c, cancel := context.WithTimeout(ctx, listTimeout)
-		u, err := n.Source.List(c)
-		cancel()
-		if err == nil {
-			n.storeAnswered()
-			n.accept(u, true)
-			return u.Revision, true
-		}
-		n.storeFailed(ctx, err)
-		if !sleep(ctx, n.jitter(pause)) {
-			return 0, false
+		defer cancel()
+		u, err = s.List(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if from == relay.Store {
+		u.Whole = !known
+		// A watch that ended without a change was answered at its end.
+		u.Confirmed = asked
+		if known {
+			u.Confirmed = time.Now()
 		}
 	}
+	return u, nil
 }
 
-// watch follows the changes after a revision until ctx ends or the history is
-// gone.
-func (n *Node) watch(ctx context.Context, after uint64) {
-	pause := retryFirst
-	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		u, err := n.Source.Watch(c, after, watchWait)
-		cancel()
-		switch {
-		case err == nil:
-			n.storeAnswered()
-			pause, after = retryFirst, max(after, u.Revision)
-			if len(u.Changes) == 0 && u.Published == nil {
-				continue
-			}
-			n.accept(u, false)
-			sleep(ctx, gatherFor)
-		case errorx.IsOfType(err, ErrCompacted):
-			n.Log.Info("history of the store is gone", "after", after)
-			return
-		default:
-			n.storeFailed(ctx, err)
-			sleep(ctx, n.jitter(pause))
-			pause = min(2*pause, retryMost)
-		}
+// nextSource names the source to read, and how long to wait before.
+func (n *Node) nextSource() (string, time.Duration) {
+	n.choiceMu.Lock()
+	defer n.choiceMu.Unlock()
+	return n.choice.Next(time.Now())
+}
+
+// sourceWorked records that a source answered.
+func (n *Node) sourceWorked(from string) {
+	n.choiceMu.Lock()
+	n.choice.Worked(from)
+	n.choiceMu.Unlock()
+	n.directory.StoreBack()
+	if n.sourceDown.Swap(false) {
+		n.Log.Info("published state is read again", "source", sourceName(from))
+	}
+}
+
+// sourceFailed records that a source did not answer. An error after the end of
+// ctx says nothing of it.
+func (n *Node) sourceFailed(ctx context.Context, from string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.choiceMu.Lock()
+	n.choice.Failed(from, time.Now())
+	n.choiceMu.Unlock()
+	n.directory.StoreLost()
+	if !n.sourceDown.Swap(true) {
+		n.Log.Warn("source of published state does not answer", "source", sourceName(from), "error", err)
+	}
+}
+
+func sourceName(from string) string {
+	if from == relay.Store {
+		return "store"
 	}
+	return from
 }
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,136 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/relay"
+)
+
+func entry(revision uint64) relay.Entry {
+	return relay.Entry{Revision: revision, Body: []byte(fmt.Sprint(revision))}
+}
+
+// Guards against a reader that misses an update or gets one twice.
+func TestLogReturnsWhatCameAfterARevision(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := relay.New()
+	l.Now = func() time.Time { return now }
+	_, _, ok := l.Since(0)
+	assert.Assert(t, !ok)
+	l.Restart(10, now)
+	for r := uint64(11); r <= 400; r++ {
+		l.Append(entry(r), now)
+	}
+	got, p, ok := l.Since(398)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Revision, uint64(399))
+	assert.Equal(t, p.Revision, uint64(400))
+	_, _, ok = l.Since(100)
+	assert.Assert(t, !ok, "what is no longer held")
+	got, _, ok = l.Since(144)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(got), 256)
+	_, _, ok = l.Since(143)
+	assert.Assert(t, !ok)
+	got, _, ok = l.Since(500)
+	assert.Assert(t, ok && len(got) == 0, "a reader that is ahead")
+	l.Restart(390, now)
+	_, _, ok = l.Since(389)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a log whose node has lost the store and looks fresh, and
+// against readers that are not woken.
+func TestLogTellsAgeAndChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := relay.New()
+	l.Now = func() time.Time { return now }
+	l.Restart(10, now)
+	now = now.Add(3 * time.Second)
+	_, p, _ := l.Since(10)
+	assert.Equal(t, p.Age, 3*time.Second)
+	l.Confirm(12, now.Add(-time.Second))
+	l.Confirm(12, now.Add(-2*time.Second))
+	_, p, _ = l.Since(10)
+	assert.Equal(t, p.Age, time.Second)
+	assert.Equal(t, p.Revision, uint64(12))
+	select {
+	case <-p.Changed:
+		t.Fatal("woken without an update")
+	default:
+	}
+	l.Append(entry(13), now)
+	<-p.Changed
+}
+
+func members(zones ...string) []relay.Member {
+	var all []relay.Member
+	for _, z := range zones {
+		for i := range 4 {
+			all = append(all, relay.Member{Address: fmt.Sprintf("%s-%d", z, i), Zone: z})
+		}
+	}
+	return all
+}
+
+// Guards against a zone in which no node, or every node, reads the store.
+func TestOneNodeOfEachZoneReadsTheStore(t *testing.T) {
+	all := members("surco", "ate", "callao")
+	readers := map[string]int{}
+	for _, m := range all {
+		c := relay.Choice{Self: m}
+		c.SetMembers(all)
+		if s, wait := c.Next(time.Unix(1000, 0)); s == relay.Store {
+			assert.Equal(t, wait, time.Duration(0))
+			readers[m.Zone]++
+		}
+	}
+	assert.DeepEqual(t, readers, map[string]int{"surco": 1, "ate": 1, "callao": 1})
+}
+
+// Guards against a node that stays with a source that fails, and against one
+// that never returns to it.
+func TestNextSourceAfterFailures(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := members("surco", "ate")
+	c := relay.Choice{Self: relay.Member{Address: "surco-9", Zone: "surco"}}
+	c.SetMembers(all)
+	first, _ := c.Next(now)
+	assert.Assert(t, first != relay.Store, "the test needs a node that does not rank first")
+	c.Failed(first, now)
+	second, _ := c.Next(now)
+	assert.Equal(t, second, relay.Store)
+	c.Failed(second, now)
+	third, wait := c.Next(now)
+	assert.Assert(t, third != first && third != relay.Store && wait == 0, "%s", third)
+	back, _ := c.Next(now.Add(time.Second))
+	assert.Equal(t, back, first)
+	for range 20 {
+		s, _ := c.Next(now)
+		c.Failed(s, now)
+	}
+	_, wait = c.Next(now)
+	assert.Assert(t, wait > 0 && wait <= 4*time.Second, "%v", wait)
+	c.Worked(first)
+	s, wait := c.Next(now)
+	assert.Assert(t, s == first && wait == 0)
+}
+
+// Guards against a node that knows no other and reads nobody, as after a
+// restart of the whole fleet.
+func TestNodeAloneReadsTheStore(t *testing.T) {
+	c := relay.Choice{Self: relay.Member{Address: "surco-1", Zone: "surco"}}
+	s, wait := c.Next(time.Unix(1000, 0))
+	assert.Assert(t, s == relay.Store && wait == 0)
+	c.SetMembers([]relay.Member{{Address: "10.0.0.9:1"}})
+	s, _ = c.Next(time.Unix(1000, 0))
+	assert.Equal(t, s, relay.Store)
+	c.Failed(relay.Store, time.Unix(1000, 0))
+	s, _ = c.Next(time.Unix(1000, 0))
+	assert.Equal(t, s, "10.0.0.9:1")
+}
