Notice a node that lost the store within 0.9 s; keep the local instance of a host that is cut off

A node whose last confirmation is 0.9 s old is stale now. Cut hosts then learned from others that their own instance's entry had lapsed and stopped using it; they ask the store first.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -4,7 +4,7 @@
 
 // UpdatesSlack is how long after the wait that a request allows its reply may
 // come: reading everything takes a few hundred milliseconds on a busy host.
-const UpdatesSlack = 400 * time.Millisecond
+const UpdatesSlack = 300 * time.Millisecond
 
 // An UpdatesRequest asks a node for what it received of the store.
 type UpdatesRequest struct {
@@ -25,6 +25,9 @@
 	Known bool `cbor:"3,keyasint,omitempty"`
 	// AgeMs is how long ago the store confirmed the revision, in milliseconds.
 	AgeMs int64 `cbor:"4,keyasint,omitempty"`
+	// ReturnedMs is how long ago the store came back from an outage in which
+	// entries may have lapsed, in milliseconds, zero if that is long ago.
+	ReturnedMs int64 `cbor:"6,keyasint,omitempty"`
 	// Bodies are updates, each encoded by its sender.
 	Bodies [][]byte `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -284,6 +284,7 @@
 	})
 	n.Headers, n.Source, n.ReadyPath = testHeaders, m.store.source(b.id), "/ready"
 	n.StopPlan.Door, n.StopPlan.Callers = 50*time.Millisecond, 100*time.Millisecond
+	n.Bounds.LeastOutage = 200 * time.Millisecond
 	n.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -568,6 +569,23 @@
 	assert.Equal(t, m.ask(t, 1, http.MethodGet, "/open/1").status, http.StatusNotFound)
 }
 
+// Guards against a host that is cut off from the store and no longer uses its
+// own healthy backend server, and against one that goes on with an instance
+// that the store says is gone.
+func TestHostCutOffFromTheStoreUsesItsOwnInstance(t *testing.T) {
+	m := newMesh(t, 3)
+	cut := m.nodes[1]
+	m.store.setFailure(BadSettings.New("503"), "i-0", "i-1", "i-2")
+	waitFor(t, "loss of the store", func() bool { return cut.sourceDown.Load() })
+	m.store.setFailure(BadSettings.New("503"), "i-1")
+	m.store.publish(nil, fleet.Change{Kind: fleet.InstanceGone, ID: "i-1"})
+	waitFor(t, "removal at others", func() bool { return m.nodes[0].directory.View().Instances["i-1"] == nil })
+	time.Sleep(1500 * time.Millisecond)
+	assert.Assert(t, cut.directory.View().Instances["i-1"] != nil)
+	m.store.setFailure(nil)
+	waitFor(t, "removal at its own host", func() bool { return cut.directory.View().Instances["i-1"] == nil })
+}
+
 // Guards against an outage of the store that stops what is already served, and
 // against live instances that are given up because their entries lapsed.
 func TestOutageOfTheStore(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -88,6 +88,10 @@
 	choiceMu   sync.Mutex
 	choice     relay.Choice
 	sourceDown atomic.Bool
+	// asking is set while the store is asked about the local instance.
+	asking atomic.Bool
+	// duties are the goroutines of Run.
+	duties sync.WaitGroup
 	// heard holds the hosts that sent requests, by IP address.
 	heard heard
 
@@ -135,7 +139,7 @@
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	var duties sync.WaitGroup
+	duties := &n.duties
 	duties.Go(func() { n.follow(inner) })
 	duties.Go(func() { n.watchHealth(inner) })
 	duties.Go(func() { n.tick(inner) })
@@ -171,6 +175,7 @@
 	n.choice.Self = relay.Member{Address: s.ControlAddress, Zone: s.Zone}
 	n.connections.most, n.connections.now = s.MaxConnections, time.Now
 	n.directory = fleet.New(n.Bounds.LapseGrace)
+	n.directory.LeastOutage = n.Bounds.LeastOutage
 	n.chooser = balance.New(s.Zone)
 	n.budget = balance.NewRetryBudget()
 	n.quota = split.New(split.Tolerance{Overage: n.Bounds.QuotaOverage, Slack: n.Bounds.QuotaSlack})
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -18,8 +18,9 @@
 	// has died must be noticed well within the time for a configuration.
 	relayWait = 500 * time.Millisecond
 	// relayStale is the age of the store's last confirmation at which a node is
-	// no longer read: it has lost the store itself. It exceeds a watch.
-	relayStale = watchWait + watchSlack + 300*time.Millisecond
+	// no longer read: it has lost the store itself. It exceeds a watch, and is
+	// half of the time in which a leaving instance must get nothing new.
+	relayStale = watchWait + 300*time.Millisecond
 	// relayBytes bounds an update after decompression.
 	relayBytes = 16 << 20
 )
@@ -58,11 +59,11 @@
 
 // serveUpdates answers another node from what this one has received.
 func (n *Node) serveUpdates(ctx context.Context, q peer.UpdatesRequest) (peer.UpdatesReply, error) {
-	wait := time.NewTimer(min(time.Duration(q.WaitMs)*time.Millisecond, relayWait))
-	defer wait.Stop()
+	end := time.Now().Add(min(time.Duration(q.WaitMs)*time.Millisecond, relayWait))
 	for {
 		entries, p, ok := n.log.Since(q.After)
 		out := peer.UpdatesReply{Revision: p.Revision, AgeMs: p.Age.Milliseconds(), Known: n.listed.Load()}
+		out.ReturnedMs = n.directory.ReturnedFor().Milliseconds()
 		switch {
 		case !out.Known:
 			return out, nil
@@ -74,16 +75,30 @@
 			}
 			return out, nil
 		}
-		select {
-		case <-p.Changed:
-		case <-wait.C:
+		// The reader must learn at once that this node has lost the store.
+		left := min(time.Until(end), relayStale-p.Age)
+		if left <= 0 {
 			return out, nil
-		case <-ctx.Done():
-			return out, ctx.Err()
+		}
+		if err := waitChange(ctx, p.Changed, left); err != nil {
+			return out, err
 		}
 	}
 }
 
+// waitChange waits for a change for at most d.
+func waitChange(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 // everything adds all that is known to a reply.
 func (n *Node) everything(out peer.UpdatesReply) (peer.UpdatesReply, error) {
 	n.acceptMu.Lock()
@@ -113,6 +128,9 @@
 		if !r.Known || age > relayStale {
 			return nil, ErrStale.New("node %s: known %t, %s old", address, r.Known, age)
 		}
+		if r.ReturnedMs > 0 {
+			n.directory.StoreReturned(time.Now().Add(-time.Duration(r.ReturnedMs) * time.Millisecond))
+		}
 		return joinUpdates(r, asked.Add(-age))
 	}
 	return Source{
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -87,6 +87,8 @@
 	// LapseGrace is how long entries that lapsed in an outage of the store may
 	// take to come back.
 	LapseGrace time.Duration
+	// LeastOutage is the shortest outage of the store in which entries lapse.
+	LeastOutage time.Duration
 }
 
 // DefaultBounds hold where a deployment states none.
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -46,12 +46,13 @@
 }
 
 const (
-	// watchWait is how long a watch waits for a change. An answer that is
-	// later tells that the connection went silent, so it is well below the
-	// time in which a change has to be in force.
-	watchWait = 1500 * time.Millisecond
-	// watchSlack is how long after watchWait an answer may come.
-	watchSlack = 700 * time.Millisecond
+	// watchWait is how long a watch waits for a change. The nodes that read
+	// this one take its knowledge for stale a little later, and must then still
+	// have time to ask the store themselves.
+	watchWait = 600 * time.Millisecond
+	// watchSlack is how long after watchWait an answer may come. A later one
+	// tells that the connection went silent.
+	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds a listing of all entries, several pages long.
 	listTimeout = 3 * time.Second
 	// retryMost bounds the pause where no source answers.
@@ -78,6 +79,9 @@
 		switch {
 		case err == nil:
 			n.sourceWorked(from)
+			if from != relay.Store {
+				n.holdOwn(ctx, u)
+			}
 			n.accept(u)
 			revision, known = max(revision, u.Revision), true
 			if from == relay.Store && (len(u.Changes) > 0 || u.Published != nil) {
@@ -136,7 +140,9 @@
 	n.choiceMu.Lock()
 	n.choice.Worked(from)
 	n.choiceMu.Unlock()
-	n.directory.StoreBack()
+	if from == relay.Store {
+		n.directory.StoreBack()
+	}
 	if n.sourceDown.Swap(false) {
 		n.Log.Info("published state is read again", "source", sourceName(from))
 	}
@@ -151,7 +157,9 @@
 	n.choiceMu.Lock()
 	n.choice.Failed(from, time.Now())
 	n.choiceMu.Unlock()
-	n.directory.StoreLost()
+	if from == relay.Store {
+		n.directory.StoreLost()
+	}
 	if !n.sourceDown.Swap(true) {
 		n.Log.Warn("source of published state does not answer", "source", sourceName(from), "error", err)
 	}
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -233,12 +233,14 @@
 	return some
 }
 
-// least returns the host with the least cost and its load. Equal ones are
-// taken by chance. crossing is the cost of a host in another zone.
+// least returns the host with the least cost and its load. A host with room
+// goes before a full one, whose door would refuse or delay the call, however
+// quick it is. Equal ones are taken by chance. crossing is the cost of a host
+// in another zone.
 func (c *Chooser) least(all []*peer, usual time.Duration, crossing float64, now time.Time) (*peer, float64) {
 	var best *peer
 	var cost, load float64
-	for k, i := range c.Rand.Perm(len(all)) {
+	for _, i := range c.Rand.Perm(len(all)) {
 		p := all[i]
 		l := p.busy(now) / p.permits()
 		x := p.cost(l, usual, now)
@@ -246,7 +248,8 @@
 			// A host that has not answered yet is tried wherever it is.
 			x += crossing
 		}
-		if k == 0 || x < cost {
+		full, bestFull := l >= 1, load >= 1
+		if best == nil || (full == bestFull && x < cost) || (!full && bestFull) {
 			best, cost, load = p, x, l
 		}
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -33,12 +33,16 @@
 	// LapseGrace is how long after the store's return an entry that lapsed
 	// meanwhile may take to come back.
 	LapseGrace time.Duration
+	// LeastOutage is the shortest outage of the store in which entries lapse.
+	LeastOutage time.Duration
 
 	mu        sync.Mutex
 	instances map[string]*Instance
 	zonesOut  map[string]bool
-	// lost is set while the store does not answer this node.
-	lost bool
+	// lostAt is since when the store does not answer, zero while it does.
+	lostAt time.Time
+	// returnedAt is when it answered again after the last outage.
+	returnedAt time.Time
 	// graceUntil is until when missing entries are kept after an outage.
 	graceUntil time.Time
 	// lapsed holds the instances whose entry is missing, by the time at which
@@ -49,10 +53,14 @@
 	changed chan struct{}
 }
 
+// defaultLeastOutage is below the time after which silent instances lapse,
+// several heartbeats.
+const defaultLeastOutage = 2 * time.Second
+
 // New returns an empty directory.
 func New(grace time.Duration) *Directory {
 	d := &Directory{
-		Now: time.Now, LapseGrace: grace,
+		Now: time.Now, LapseGrace: grace, LeastOutage: defaultLeastOutage,
 		instances: map[string]*Instance{}, zonesOut: map[string]bool{}, lapsed: map[string]time.Time{},
 		changed: make(chan struct{}),
 	}
@@ -103,21 +111,51 @@
 	d.publish()
 }
 
-// StoreLost records that the store does not answer this node.
+// StoreLost records that the store does not answer.
 func (d *Directory) StoreLost() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lost = true
+	if d.lostAt.IsZero() {
+		d.lostAt = d.Now()
+	}
 }
 
 // StoreBack records an answer of the store.
 func (d *Directory) StoreBack() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lost {
-		d.lost = false
-		d.graceUntil = d.Now().Add(d.LapseGrace)
+	now := d.Now()
+	if !d.lostAt.IsZero() && now.Sub(d.lostAt) >= d.LeastOutage {
+		d.returned(now)
+	}
+	d.lostAt = time.Time{}
+}
+
+// StoreReturned records that the store came back from an outage at a time, as
+// another node says.
+func (d *Directory) StoreReturned(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returned(at)
+}
+
+func (d *Directory) returned(at time.Time) {
+	if at.After(d.returnedAt) {
+		d.returnedAt = at
+		d.graceUntil = at.Add(d.LapseGrace)
+	}
+}
+
+// ReturnedFor returns how long ago the store came back, zero if the time for
+// lapsed entries is over.
+func (d *Directory) ReturnedFor() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	if !now.Before(d.graceUntil) {
+		return 0
 	}
+	return max(time.Millisecond, now.Sub(d.returnedAt))
 }
 
 // Tick removes lapsed instances whose time is over.
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -91,3 +91,24 @@
 	v = d.View()
 	assert.Assert(t, v.Usable(v.Instances["a"]))
 }
+
+// Guards against instances that are kept for seconds after they left because
+// one read of the store failed shortly before, and against a node that reads
+// another one and does not know of an outage.
+func TestOnlyAnOutageKeepsMissingEntries(t *testing.T) {
+	d, c := newDirectory()
+	d.Apply([]fleet.Change{set("a", "desk", "10.0.0.1:80", 1), set("b", "desk", "10.0.0.2:80", 1)})
+	d.StoreLost()
+	c.now = c.now.Add(time.Second)
+	d.StoreBack()
+	d.Apply([]fleet.Change{gone("a")})
+	assert.Assert(t, d.View().Instances["a"] == nil)
+	assert.Equal(t, d.ReturnedFor(), time.Duration(0))
+	d.StoreReturned(c.now.Add(-time.Second))
+	assert.Equal(t, d.ReturnedFor(), time.Second)
+	d.Apply([]fleet.Change{gone("b")})
+	assert.Assert(t, d.View().Instances["b"] != nil)
+	c.now = c.now.Add(time.Second)
+	d.Tick()
+	assert.Assert(t, d.View().Instances["b"] == nil)
+}
