--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -108,11 +108,16 @@
 // Error implements error.
 func (f *failedAnswer) Error() string { return "status " + http.StatusText(f.answer.StatusCode) }
 
-// pick returns the next host, and whether the request may wait there.
+// pick returns the next host, and whether the request may wait there: a host
+// that is known to be full is asked for a place in its queue at once.
 func (t *trial) pick() (to balance.Target, wait, ok bool) {
 	if len(t.full) < doorsAsked {
-		if to, ok = t.d.chooser.PickNear(t.service, t.tried, t.crossing); ok {
-			return to, false, true
+		to, full, ok := t.d.chooser.PickNear(t.service, t.tried, t.crossing)
+		if ok && (!full || t.queued < queuesAsked) {
+			if full {
+				t.queued++
+			}
+			return to, full, true
 		}
 	}
 	if len(t.full) == 0 || t.queued >= queuesAsked {
@@ -264,7 +269,7 @@
 	if t.runs >= most {
 		return false
 	}
-	if _, other := t.d.chooser.Pick(t.service, t.tried); !other {
+	if _, _, other := t.d.chooser.PickNear(t.service, t.tried, t.crossing); !other {
 		return false
 	}
 	return t.d.budget.Allow(t.service, t.d.now())
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -103,22 +103,23 @@
 
 // PickNear is Pick for calls whose crossing to another zone has a cost of its
 // own, in usual running times. A host elsewhere is taken where the own zone's
-// are busier by more than that.
-func (c *Chooser) PickNear(service string, exclude []string, crossing float64) (Target, bool) {
+// are busier by more than that. full states that the host has no room for the
+// call as far as is known.
+func (c *Chooser) PickNear(service string, exclude []string, crossing float64) (t Target, full, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
 	all := c.eligible(service, exclude, now)
 	if len(all) == 0 {
-		return Target{}, false
+		return Target{}, false, false
 	}
 	local := c.local(all)
 	some := append(c.sample(local), c.sample(c.remote(all))...)
 	best, load := c.least(some, usualLatency(all), crossing, now)
 	if load >= 1 && len(some) < len(all) {
-		best, _ = c.least(all, usualLatency(all), crossing, now)
+		best, load = c.least(all, usualLatency(all), crossing, now)
 	}
-	return best.Target, true
+	return best.Target, load >= 1, true
 }
 
 func (c *Chooser) remote(all []*peer) []*peer {
@@ -233,10 +234,8 @@
 	return some
 }
 
-// least returns the host with the least cost and its load. A host with room
-// goes before a full one, whose door would refuse or delay the call, however
-// quick it is. Equal ones are taken by chance. crossing is the cost of a host
-// in another zone.
+// least returns the host with the least cost and its load. Equal ones are
+// taken by chance. crossing is the cost of a host in another zone.
 func (c *Chooser) least(all []*peer, usual time.Duration, crossing float64, now time.Time) (*peer, float64) {
 	var best *peer
 	var cost, load float64
@@ -248,8 +247,7 @@
 			// A host that has not answered yet is tried wherever it is.
 			x += crossing
 		}
-		full, bestFull := l >= 1, load >= 1
-		if best == nil || (full == bestFull && x < cost) || (!full && bestFull) {
+		if best == nil || x < cost {
 			best, cost, load = p, x, l
 		}
 	}
@@ -261,6 +259,9 @@
 	// times: what does not run at once waits for what runs.
 	queueCost = 3
 	fullLoad  = 0.9
+	// fullCost is the cost of a host without room, however quick it is: its
+	// door refuses the call or has it wait.
+	fullCost = 2
 	// leastRatio and mostRatio bound how much a host's latency counts beside
 	// the usual one, so that a few odd answers neither draw nor bar all calls.
 	leastRatio = 0.5
@@ -278,7 +279,11 @@
 		l := max(p.latency, p.age(now))
 		ratio = min(max(float64(l)/float64(usual), leastRatio), mostRatio)
 	}
-	return ratio * (1 + load*load/2 + queueCost*max(0, load-fullLoad))
+	x := ratio * (1 + load*load/2 + queueCost*max(0, load-fullLoad))
+	if load >= 1 {
+		x += fullCost
+	}
+	return x
 }
 
 // age returns how long the calls that run at the host have run, as the latency
