Rank by the account's priority, then the route's; repeats draw on the budgets of what they call

Cause: the account's priority replaced the route's, so kinds of one account were served alike in an overload; repeated requests made their calls again at a service whose budget did not know.

--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -8,8 +8,8 @@
 
 const (
 	// budgetPart is the part of the tolerated repeats that nodes use. The rest
-	// covers the calls that repeated requests make in turn.
-	budgetPart = 0.5
+	// covers windows in which requests and repeats are spread unevenly.
+	budgetPart = 0.75
 	percent    = 100
 )
 
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -161,7 +161,7 @@
 	if !ok {
 		return j, &rejection{http.StatusNotFound, "NoRoute", 0}
 	}
-	j.route, j.priority, j.version = route, route.Priority, v.Version
+	j.route, j.priority, j.version = route, rank(route.Priority, route.Priority), v.Version
 	j.repeatable = route.CanRepeat(call.IsIdempotentMethod(in.Method))
 	j.nested = route.Open && in.Header.Get(s.names.Key) == ""
 	if j.nested && s.names.ParentOf != nil {
@@ -186,6 +186,13 @@
 	return j, nil
 }
 
+// routeRanks is the number of route priorities that are told apart.
+const routeRanks = 100
+
+// rank joins the priorities of an account and a route: the account's goes
+// first, the route's decides between equal ones.
+func rank(account, route int) int { return account*routeRanks + min(route, routeRanks-1) }
+
 // identify sets the account that holds the request's key.
 func (s *callers) identify(j *job, v *config.Snapshot) error {
 	if j.route.Open || len(v.Accounts) == 0 {
@@ -197,7 +204,7 @@
 	}
 	j.account = a.Name
 	if a.Priority != nil {
-		j.priority = *a.Priority
+		j.priority = rank(*a.Priority, j.route.Priority)
 	}
 	return nil
 }
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -42,6 +42,7 @@
 	// pickService chooses one of a route's services by weight.
 	pickService func(j *job) string
 	sizes       sizes
+	calls       *callGraph
 }
 
 // do has a request run and returns the answer, whose body is whole or streams.
@@ -49,7 +50,9 @@
 // *call.Unknown.
 func (d *dispatcher) do(ctx context.Context, j *job) (*http.Response, error) {
 	t := &trial{d: d, j: j, service: d.pickService(j), crossing: d.sizes.crossing(j.route)}
-	if !j.nested {
+	if j.nested {
+		d.calls.called(t.service)
+	} else {
 		d.budget.Earned(t.service)
 	}
 	for {
@@ -181,9 +184,10 @@
 
 func (d *dispatcher) send(ctx context.Context, to balance.Target, r *Request) (*http.Response, balance.Load, error) {
 	if to.CallAddress != d.self {
-		return d.peers.do(ctx, to.CallAddress, r)
+		return d.peers.do(ctx, to, r)
 	}
 	a, err := d.local.do(ctx, r)
+	d.calls.learn(to.Service, d.calls.header())
 	l := d.local.door.Load()
 	return a, balance.Load{Running: l.Running, Permits: l.Permits, Queued: l.Queued}, err
 }
@@ -272,7 +276,7 @@
 	if _, _, other := t.d.chooser.PickNear(t.service, t.tried, t.crossing); !other {
 		return false
 	}
-	return t.d.budget.Allow(t.service, t.d.now())
+	return t.d.budget.AllowRepeat(t.service, t.d.calls.of(t.service))
 }
 
 // end returns what the caller gets in place of a good answer: the failure of an
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -21,6 +21,7 @@
 	local *local
 	now   func() time.Time
 	heard *heard
+	calls *callGraph
 }
 
 // ServeHTTP implements http.Handler.
@@ -48,14 +49,14 @@
 		return
 	}
 	defer func() { _ = a.Body.Close() }()
-	writeLoad(a.Header, s.local.door.Load())
+	writeState(a.Header, s.local.door.Load(), s.calls.header())
 	peercall.CopyAnswer(w, a)
 }
 
 // fail answers a request that brought no answer of the backend server.
 func (s *inbound) fail(w http.ResponseWriter, err error) {
 	h := w.Header()
-	writeLoad(h, s.local.door.Load())
+	writeState(h, s.local.door.Load(), s.calls.header())
 	var f *door.Refusal
 	var n *call.NotRun
 	switch {
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -28,6 +28,8 @@
 	// instance returns the ID of the instance that has the backend server's
 	// address; empty if none is known.
 	instance func() string
+	// ran is told of each request that is sent to the server.
+	ran func()
 	// closed is told that the server closed some connections.
 	closed func(n int)
 	// unreachable is told that the server took no connection.
@@ -58,6 +60,7 @@
 	}
 	h[l.names.Expected] = []string{r.Instance}
 	h[l.names.TimeLeft] = []string{milliseconds(left)}
+	l.ran()
 	remove := l.running.add(r.Header.Get(l.names.RequestID), r.Priority)
 	done := func(ran bool) {
 		remove()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -77,6 +77,7 @@
 	// connections are those of the callers.
 	connections connections
 	splits      splitter
+	calls       callGraph
 
 	// acceptMu orders updates with the answers to nodes that ask for all.
 	acceptMu sync.Mutex
@@ -181,7 +182,7 @@
 	n.quota = split.New(split.Tolerance{Overage: n.Bounds.QuotaOverage, Slack: n.Bounds.QuotaSlack})
 	n.door = door.New()
 	n.door.Close(door.Draining)
-	n.peers = newPeers(&n.Headers, time.Now)
+	n.peers = newPeers(&n.Headers, &n.calls, time.Now)
 	n.local = &local{
 		names: &n.Headers, door: n.door, log: n.Log, now: time.Now,
 		pool: &http1.Pool{
@@ -189,12 +190,12 @@
 			Dial:       func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
 			IdleClosed: n.connectionsClosed,
 		},
-		instance: n.localInstance, closed: n.connectionsClosed,
+		ran: n.calls.ran, instance: n.localInstance, closed: n.connectionsClosed,
 		unreachable: func() { n.setReachable(false) },
 	}
 	d := &dispatcher{
 		names: &n.Headers, chooser: n.chooser, budget: n.budget, local: n.local, peers: n.peers,
-		now: time.Now, self: s.CallAddress, pickService: func(j *job) string { return n.splits.pick(j.route) },
+		now: time.Now, self: s.CallAddress, calls: &n.calls, pickService: func(j *job) string { return n.splits.pick(j.route) },
 	}
 	n.callers = &callers{
 		names: &n.Headers, dispatch: d, quota: n.quota, log: n.Log, now: time.Now,
@@ -344,7 +345,7 @@
 func (n *Node) listen() (*servers, error) {
 	s := n.settings()
 	v := &servers{}
-	inbound := &inbound{names: &n.Headers, local: n.local, now: time.Now, heard: &n.heard}
+	inbound := &inbound{names: &n.Headers, local: n.local, now: time.Now, heard: &n.heard, calls: &n.calls}
 	for _, l := range []struct {
 		to      *served
 		address string
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -56,10 +56,11 @@
 	names *Headers
 	pools http1.Set[string]
 	now   func() time.Time
+	calls *callGraph
 }
 
-func newPeers(names *Headers, now func() time.Time) *peers {
-	p := &peers{names: names, now: now}
+func newPeers(names *Headers, calls *callGraph, now func() time.Time) *peers {
+	p := &peers{names: names, calls: calls, now: now}
 	p.pools.Open = func(address string) *http1.Pool {
 		return &http1.Pool{
 			MaxIdle: idlePerNode, Probe: true,
@@ -69,10 +70,10 @@
 	return p
 }
 
-// do sends a request to the node at the address. Its errors are those of
+// do sends a request to the node of a target. Its errors are those of
 // local.do, and a *door.Refusal of the reason Unreachable if nothing was sent.
-func (p *peers) do(ctx context.Context, address string, r *Request) (*http.Response, balance.Load, error) {
-	pool := p.pools.Pool(address)
+func (p *peers) do(ctx context.Context, to balance.Target, r *Request) (*http.Response, balance.Load, error) {
+	pool := p.pools.Pool(to.CallAddress)
 	send := pool.DoOnce
 	if r.Repeatable {
 		send = pool.Do
@@ -86,6 +87,7 @@
 		_ = a.Body.Close()
 		return nil, l, &call.Unknown{Reason: "status " + strconv.Itoa(a.StatusCode) + " is not the answer of a node"}
 	}
+	p.calls.learn(to.Service, a.Header.Get(headerCalls))
 	if err := refused(a); err != nil {
 		peercall.Drain(a, refusalBytes)
 		return nil, l, err
@@ -122,8 +124,12 @@
 	return nil
 }
 
-// writeLoad states how busy the door is, in each answer to a node.
-func writeLoad(h http.Header, l door.Load) {
+// writeState states how busy the door is and what the instance calls, in each
+// answer to a node.
+func writeState(h http.Header, l door.Load, calls string) {
+	if calls != "" {
+		h[headerCalls] = []string{calls}
+	}
 	h[call.HeaderLoad] = []string{strconv.Itoa(l.Running) + "/" + strconv.Itoa(l.Permits) + "/" + strconv.Itoa(l.Queued)}
 }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -54,7 +54,7 @@
 // betweenNodes lists the headers that only nodes set. What callers and backend
 // servers send under these names is dropped.
 var betweenNodes = []string{
-	headerPriority, headerObjective, headerNoWait, headerNested, headerRepeat, headerAfter,
+	headerPriority, headerObjective, headerNoWait, headerNested, headerRepeat, headerAfter, headerCalls,
 	call.HeaderNotRun, call.HeaderOutcome, call.HeaderLoad,
 }
 
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -263,9 +265,12 @@
 	// door refuses the call or has it wait.
 	fullCost = 2
 	// leastRatio and mostRatio bound how much a host's latency counts beside
-	// the usual one, so that a few odd answers neither draw nor bar all calls.
+	// the usual one, so that a few quick answers do not draw all calls.
 	leastRatio = 0.5
-	mostRatio  = 4
+	mostRatio  = 16
+	// slowHalfLife is the time in which half of what a host is slower than
+	// usual is forgotten, so that one that is avoided is tried again.
+	slowHalfLife = 1500 * time.Millisecond
 	// leastAged calls must run at a host for their age to count, and ageFactor
 	// makes the mean age of calls that run as long as each other their length.
 	leastAged = 2
@@ -276,7 +281,7 @@
 func (p *peer) cost(load float64, usual time.Duration, now time.Time) float64 {
 	ratio := leastRatio
 	if p.latency > 0 && usual > 0 {
-		l := max(p.latency, p.age(now))
+		l := max(p.recent(usual, now), p.age(now))
 		ratio = min(max(float64(l)/float64(usual), leastRatio), mostRatio)
 	}
 	x := ratio * (1 + load*load/2 + queueCost*max(0, load-fullLoad))
@@ -286,6 +291,16 @@
 	return x
 }
 
+// recent returns the host's latency, nearer to the usual one the longer it has
+// not been observed.
+func (p *peer) recent(usual time.Duration, now time.Time) time.Duration {
+	if p.latency <= usual {
+		return p.latency
+	}
+	left := math.Exp2(-float64(now.Sub(p.observedAt)) / float64(slowHalfLife))
+	return usual + time.Duration(left*float64(p.latency-usual))
+}
+
 // age returns how long the calls that run at the host have run, as the latency
 // that would let one see such ages: a host that stopped answering shows by them
 // before any of its calls ends.
@@ -296,20 +311,20 @@
 	return ageFactor * now.Sub(p.begun)
 }
 
-// usualLatency returns the mean latency of the hosts that have answered.
+// usualLatency returns the lower median latency of the hosts that have answered.
+// A mean would take the slow ones for usual where many are slow.
 func usualLatency(all []*peer) time.Duration {
-	var sum time.Duration
-	n := 0
+	known := make([]time.Duration, 0, len(all))
 	for _, p := range all {
 		if p.latency > 0 {
-			sum += p.latency
-			n++
+			known = append(known, p.latency)
 		}
 	}
-	if n == 0 {
+	if len(known) == 0 {
 		return 0
 	}
-	return sum / time.Duration(n)
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
 }
 
 // Started records that a call was sent to the host.
@@ -366,8 +381,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[id]
+	if p == nil {
+		return
+	}
+	p.observedAt = c.Now()
 	switch {
-	case p == nil:
 	case p.latency == 0:
 		p.latency = latency
 	default:
--- a/pkg/balance/retry.go
+++ b/pkg/balance/retry.go
@@ -68,6 +68,29 @@
 	return true
 }
 
+// AllowRepeat takes one retry from the service's budget and from the budget of
+// each service that the repeated request calls in turn, by the number of calls.
+// It takes nothing unless all of them have enough.
+func (b *RetryBudget) AllowRepeat(service string, calls map[string]float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens[service] < 1 {
+		return false
+	}
+	for s, n := range calls {
+		if s != service && b.tokens[s] < n {
+			return false
+		}
+	}
+	b.tokens[service]--
+	for s, n := range calls {
+		if s != service {
+			b.tokens[s] -= n
+		}
+	}
+	return true
+}
+
 // A Decision is what to do after an attempt that brought no answer.
 type Decision int
 
--- a/pkg/balance/retry_test.go
+++ b/pkg/balance/retry_test.go
@@ -117,3 +117,20 @@
 	assert.Check(t, onlyHeader <= 3)
 	assert.Check(t, none > 2000, "the run without the mechanisms does not show the fault")
 }
+
+// Guards against repeats whose own calls exceed the budget of the services that
+// they call.
+func TestRepeatsDrawOnTheBudgetsOfTheirCalls(t *testing.T) {
+	b := NewRetryBudget()
+	b.Configure("desk", 50)
+	b.Configure("records", 50)
+	calls := map[string]float64{"records": 2.5}
+	n := 0
+	for b.AllowRepeat("desk", calls) {
+		n++
+	}
+	assert.Equal(t, n, 4)
+	assert.Assert(t, !b.AllowRepeat("desk", calls))
+	assert.Assert(t, b.AllowRepeat("desk", nil))
+	assert.Assert(t, !b.AllowRepeat("records", nil))
+}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -63,7 +63,8 @@
 	// rampFrom is the time at which the host returned; zero means long ago.
 	rampFrom time.Time
 	// latency is the moving average of good answers, zero before the first.
-	latency time.Duration
+	latency    time.Duration
+	observedAt time.Time
 	// begun is the mean start of the calls in flight.
 	begun time.Time
 }
