--- a/cmd/quetzaldock/main.go
+++ b/cmd/quetzaldock/main.go
@@ -20,6 +20,7 @@
 	c.addExplain()
 	c.addDiff()
 	c.addKey()
+	c.addTrace()
 	err := c.run(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "quetzaldock: %s\n", err)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -41,6 +41,30 @@
 	Accounts      []AccountStatus
 	Latencies     []LatencyStatus
 	Control       ControlStatus
+	// Source names what published state is read from: the store or a node.
+	// Empty for a node that does not choose.
+	Source string `json:",omitempty"`
+	// Instances are the instances that the node knows, for nodes that follow
+	// published instances.
+	Instances []InstanceStatus `json:",omitempty"`
+}
+
+// An InstanceStatus is what a node believes of one instance.
+type InstanceStatus struct {
+	ID      string
+	Service string
+	Zone    string
+	Address string
+	// State is Ready, Draining or ZoneOut.
+	State string
+	// InFlight is the number of this node's own requests there, Load the
+	// requests there per permitted one, as estimated now.
+	InFlight int
+	Load     float64
+	// LatencyMs is the moving average of answers, as of ObservedAgeMs ago;
+	// -1 means never.
+	LatencyMs     int64
+	ObservedAgeMs int64
 }
 
 // A RefusedVersion is a version that was not accepted.
@@ -110,14 +134,34 @@
 	for _, r := range s.Refused {
 		fmt.Fprintf(t, "refused\tversion %d (%.12s): %s\n", r.Version, r.Digest, r.Reason)
 	}
+	if s.Source != "" {
+		fmt.Fprintf(t, "source\t%s\n", s.Source)
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	s.printInstances(t)
 	s.printAccounts(t)
 	s.printLatencies(t)
 	return t.Flush()
 }
 
+func (s *Status) printInstances(w io.Writer) {
+	if len(s.Instances) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\ninstance\tservice\tzone\taddress\tstate\tin flight\tload\tlatency\tseen\n")
+	for _, i := range s.Instances {
+		latency, seen := "unknown", "never"
+		if i.ObservedAgeMs >= 0 {
+			latency = (time.Duration(i.LatencyMs) * time.Millisecond).String()
+			seen = (time.Duration(i.ObservedAgeMs) * time.Millisecond).String() + " ago"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.2f\t%s\t%s\n",
+			i.ID, i.Service, i.Zone, i.Address, i.State, i.InFlight, i.Load, latency, seen)
+	}
+}
+
 func (s *Status) printAccounts(w io.Writer) {
 	if len(s.Accounts) == 0 {
 		return
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -64,8 +64,9 @@
 	Nested  bool
 	Status  int
 	// Reason is that of the node's own answer, empty for an answer of a backend
-	// server.
+	// server. There are few of them; Detail says more.
 	Reason string
+	Detail string
 	// Hosts names the instances whose doors were asked, in order, and Runs
 	// counts those that the request reached.
 	Hosts []string
@@ -81,6 +82,8 @@
 type rejection struct {
 	status int
 	reason string
+	// detail is for logs only.
+	detail string
 	// after asks the caller to come back, zero if it says nothing.
 	after time.Duration
 }
@@ -155,11 +158,11 @@
 	j := &job{in: in}
 	v := s.snapshot()
 	if v == nil {
-		return j, &rejection{http.StatusServiceUnavailable, "Starting", returnUnknown}
+		return j, &rejection{http.StatusServiceUnavailable, "Starting", "", returnUnknown}
 	}
 	route, ok := v.RouteOf(in.Host, path(in))
 	if !ok {
-		return j, &rejection{http.StatusNotFound, "NoRoute", 0}
+		return j, &rejection{http.StatusNotFound, "NoRoute", "", 0}
 	}
 	j.route, j.priority, j.version = route, rank(route.Priority, route.Priority), v.Version
 	j.repeatable = route.CanRepeat(call.IsIdempotentMethod(in.Method))
@@ -173,7 +176,7 @@
 		return j, err
 	}
 	if n := v.CallerLimits.BodyBytes; n > 0 && in.ContentLength > int64(n) {
-		return j, &rejection{http.StatusRequestEntityTooLarge, "BodyTooLarge", 0}
+		return j, &rejection{http.StatusRequestEntityTooLarge, "BodyTooLarge", "", 0}
 	}
 	if err := s.limit(j, now); err != nil {
 		return j, err
@@ -200,7 +203,7 @@
 	}
 	a, ok := v.AccountOfKey(j.in.Header.Get(s.names.Key))
 	if !ok {
-		return &rejection{http.StatusUnauthorized, "KeyUnknown", 0}
+		return &rejection{http.StatusUnauthorized, "KeyUnknown", "", 0}
 	}
 	j.account = a.Name
 	if a.Priority != nil {
@@ -215,7 +218,7 @@
 	if t := j.in.Header.Get(s.names.TimeLeft); t != "" {
 		ms, err := strconv.ParseFloat(t, 64)
 		if err != nil || !(ms > 0) {
-			return &rejection{http.StatusBadRequest, "BadTimeLeft", 0}
+			return &rejection{http.StatusBadRequest, "BadTimeLeft", "", 0}
 		}
 		left := time.Duration(ms * float64(time.Millisecond))
 		d, waited = min(d, left), s.waits.before(j.route, left)
@@ -234,7 +237,7 @@
 func (s *callers) serve(ctx context.Context, j *job) (*http.Response, error) {
 	if j.account != "" {
 		if ok, after := s.quota.Take(j.account); !ok {
-			return nil, &rejection{http.StatusTooManyRequests, "RateExceeded", after}
+			return nil, &rejection{http.StatusTooManyRequests, "RateExceeded", "", after}
 		}
 	}
 	body, err := call.NewReplay(j.in)
@@ -255,7 +258,7 @@
 // reject gives the node's own answer to a request.
 func (s *callers) reject(w http.ResponseWriter, in *http.Request, err error, o *Observation) {
 	r := rejectionOf(err)
-	o.Status, o.Reason = r.status, r.reason
+	o.Status, o.Reason, o.Detail = r.status, r.reason, r.detail
 	if in.Context().Err() != nil {
 		return
 	}
@@ -290,15 +293,15 @@
 		if after <= 0 {
 			after = returnUnknown
 		}
-		return &rejection{http.StatusServiceUnavailable, string(f.Reason), after}
+		return &rejection{http.StatusServiceUnavailable, string(f.Reason), "", after}
 	case errors.As(err, &b) && b.Late:
-		return &rejection{http.StatusRequestTimeout, "BodyLate", 0}
+		return &rejection{http.StatusRequestTimeout, "BodyLate", "", 0}
 	case errors.As(err, &b):
-		return &rejection{http.StatusBadRequest, "BodyIncomplete", 0}
+		return &rejection{http.StatusBadRequest, "BodyIncomplete", "", 0}
 	case errors.As(err, &u) && errors.Is(u, context.DeadlineExceeded):
-		return &rejection{http.StatusGatewayTimeout, u.Reason, 0}
+		return &rejection{http.StatusGatewayTimeout, "NoAnswerInTime", u.Error(), 0}
 	default:
-		return &rejection{http.StatusBadGateway, err.Error(), 0}
+		return &rejection{http.StatusBadGateway, "NoWholeAnswer", err.Error(), 0}
 	}
 }
 
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quetzaldock.example/quetzaldock/internal/operator"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 )
@@ -279,7 +280,7 @@
 	}
 	n := New(Settings{
 		Host: b.id, Service: "desk", Zone: "surco", CallerAddress: free(), CallAddress: host + ":" + testPort,
-		ReadyAddress: free(), ControlAddress: host + ":" + testControlPort, BackendAddress: b.listener.Addr().String(),
+		ReadyAddress: free(), OperatorAddress: free(), ControlAddress: host + ":" + testControlPort, BackendAddress: b.listener.Addr().String(),
 		PlatformURL: "http://127.0.0.1:1", MemoryMB: 128, MaxConnections: 600, LogLevel: "Info",
 	})
 	n.Headers, n.Source, n.ReadyPath = testHeaders, m.store.source(b.id), "/ready"
@@ -603,3 +604,30 @@
 		return v.Instances["i-0"] != nil && v.Instances["i-1"] == nil
 	})
 }
+
+// Guards against operators who cannot see what a node believes.
+func TestOperatorPortShowsWhatTheNodeKnows(t *testing.T) {
+	m := newMesh(t, 2)
+	for range 5 {
+		assert.Equal(t, m.ask(t, 0, http.MethodGet, "/list/1").status, http.StatusOK)
+	}
+	assert.Equal(t, m.ask(t, 0, http.MethodGet, "/list/1", "X-Key", "wrong").status, http.StatusUnauthorized)
+	s, err := operator.Get(context.Background(), m.nodes[0].Settings.OperatorAddress)
+	assert.NilError(t, err)
+	assert.Assert(t, s.Ready && s.Version == 1 && s.Gate.State == "Open")
+	assert.Assert(t, s.ConfirmedAgeMs >= 0 && s.ConfirmedAgeMs < 2000, "%d ms", s.ConfirmedAgeMs)
+	assert.Equal(t, len(s.Instances), 2)
+	seen := false
+	for _, i := range s.Instances {
+		seen = seen || i.ObservedAgeMs >= 0
+	}
+	assert.Assert(t, seen)
+	waitFor(t, "metrics", func() bool {
+		a, err := http.Get("http://" + m.nodes[0].Settings.OperatorAddress + "/metrics")
+		assert.NilError(t, err)
+		defer func() { _ = a.Body.Close() }()
+		b, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		return strings.Contains(string(b), `refused="KeyUnknown"`) && strings.Contains(string(b), "quetzaldock_call_seconds_bucket")
+	})
+}
--- a/internal/sidecar/journal.go
+++ b/internal/sidecar/journal.go
@@ -33,17 +33,31 @@
 		return
 	}
 	j.log.Info("request ended", "request", o.ID, "route", o.Route, "account", o.Account, "nested", o.Nested,
-		"status", o.Status, "reason", o.Reason, "hosts", o.Hosts, "runs", o.Runs, "version", o.Version,
+		"status", o.Status, "reason", o.Reason, "detail", o.Detail, "hosts", o.Hosts, "runs", o.Runs, "version", o.Version,
 		"ms", o.Latency.Milliseconds(), "left", o.Left)
 }
 
+// failed writes that an instance brought no whole answer to a request.
+func (j *journal) failed(request, instance string, err error) {
+	if j.withinBound() {
+		j.log.Info("no whole answer of the backend server", "request", request, "instance", instance, "error", err)
+	}
+}
+
 func (j *journal) admit(o *Observation) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
 	if o.Reason == "" && o.Status < 500 {
+		j.mu.Lock()
+		defer j.mu.Unlock()
 		j.usual++
 		return j.usual%usualEvery == 0
 	}
+	return j.withinBound()
+}
+
+// withinBound takes one line from the bound of this second.
+func (j *journal) withinBound() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	now := j.now()
 	if now.Sub(j.since) >= time.Second {
 		if j.dropped > 0 {
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -30,6 +30,8 @@
 	instance func() string
 	// ran is told of each request that is sent to the server.
 	ran func()
+	// failed is told of each request that was sent without a whole answer.
+	failed func(request, instance string, err error)
 	// closed is told that the server closed some connections.
 	closed func(n int)
 	// unreachable is told that the server took no connection.
@@ -69,6 +71,7 @@
 	a, err := l.exchange(ctx, r, h)
 	if err != nil {
 		done(false)
+		l.failed(r.Header.Get(l.names.RequestID), r.Instance, err)
 		return nil, err
 	}
 	call.StripHop(a.Header)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/internal/operator"
 	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/config"
@@ -44,6 +45,10 @@
 	// memoryPart is the part of the memory limit that the garbage collector
 	// keeps the process under.
 	memoryPart = 0.7
+	// collectPercent is how much the heap grows before it is collected, in
+	// percent of what is in use. Hosts are short of memory rather than of
+	// processor time.
+	collectPercent = 40
 )
 
 // A Node is one process of a deployment. Its exported fields are set before
@@ -64,6 +69,14 @@
 	Reload func() (*Settings, error)
 	Hangup <-chan os.Signal
 
+	// ring takes the lines of Log.
+	ring    *operator.Ring
+	metrics *operator.Metrics
+	started time.Time
+	// drain is closed by Drain.
+	drain     chan struct{}
+	drainOnce sync.Once
+
 	current   atomic.Pointer[Settings]
 	snapshot  atomic.Pointer[config.Snapshot]
 	directory *fleet.Directory
@@ -115,9 +128,9 @@
 	_ = l.UnmarshalText([]byte(s.LogLevel))
 	n := &Node{
 		Settings: s, Bounds: DefaultBounds(), StopPlan: DefaultStopPlan(), suspected: make(chan struct{}, 1),
-		Level: l,
-		Log:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l})),
+		Level: l, ring: operator.NewRing(os.Stdout), drain: make(chan struct{}),
 	}
+	n.Log = slog.New(slog.NewJSONHandler(n.ring, &slog.HandlerOptions{Level: l})).With("host", s.Host)
 	n.current.Store(&n.Settings)
 	return n
 }
@@ -128,7 +141,14 @@
 // finished. It fails with ListenFailed.
 func (n *Node) Run(ctx context.Context) error {
 	setMemory(n.Settings.MemoryMB)
+	n.started = time.Now()
+	written, stopWriting := context.WithCancel(context.Background())
+	var writer sync.WaitGroup
+	writer.Go(func() { n.ring.Run(written) })
+	defer writer.Wait()
+	defer stopWriting()
 	n.build()
+	defer func() { _ = n.metrics.Close() }()
 	servers, err := n.listen()
 	if err != nil {
 		return err
@@ -153,8 +173,11 @@
 	for _, s := range servers.all() {
 		duties.Go(func() { _ = s.server.Serve(s.listener) })
 	}
-	n.Log.Info("node started", "host", n.Settings.Host, "service", n.Settings.Service, "zone", n.Settings.Zone)
-	<-ctx.Done()
+	n.Log.Info("node started", "service", n.Settings.Service, "zone", n.Settings.Zone)
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	}
 	n.stop(servers)
 	cancel()
 	duties.Wait()
@@ -167,6 +190,7 @@
 
 // setMemory has the garbage collector keep the process below its limit.
 func setMemory(mb int) {
+	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(mb) * (1 << 20)))
 }
 
@@ -183,6 +207,7 @@
 	n.door = door.New()
 	n.door.Close(door.Draining)
 	n.peers = newPeers(&n.Headers, &n.calls, time.Now)
+	lines := &journal{log: n.Log, now: time.Now}
 	n.local = &local{
 		names: &n.Headers, door: n.door, log: n.Log, now: time.Now,
 		pool: &http1.Pool{
@@ -190,17 +215,21 @@
 			Dial:       func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
 			IdleClosed: n.connectionsClosed,
 		},
-		ran: n.calls.ran, instance: n.localInstance, closed: n.connectionsClosed,
+		ran: n.calls.ran, failed: lines.failed, instance: n.localInstance, closed: n.connectionsClosed,
 		unreachable: func() { n.setReachable(false) },
 	}
 	d := &dispatcher{
 		names: &n.Headers, chooser: n.chooser, budget: n.budget, local: n.local, peers: n.peers,
 		now: time.Now, self: s.CallAddress, calls: &n.calls, pickService: func(j *job) string { return n.splits.pick(j.route) },
 	}
+	n.metrics = operator.NewMetrics()
 	n.callers = &callers{
 		names: &n.Headers, dispatch: d, quota: n.quota, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
-		closing: n.stopping.Load, crowded: n.connections.crowded, observe: (&journal{log: n.Log, now: time.Now}).observe,
+		closing: n.stopping.Load, crowded: n.connections.crowded, observe: func(o *Observation) {
+			lines.observe(o)
+			n.metrics.Observe(o.Account, o.Route, o.Status, o.Reason, o.Latency)
+		},
 	}
 }
 
@@ -327,20 +356,27 @@
 
 // servers holds the listeners of a node.
 type servers struct {
-	callers, nodes, ready served
+	callers, nodes, ready, operator served
 }
 
 // close closes the listeners that are open.
 func (s *servers) close() {
 	for _, o := range s.all() {
+		_ = o.listener.Close()
+	}
+}
+
+// all lists what is bound.
+func (s *servers) all() []served {
+	var all []served
+	for _, o := range []served{s.callers, s.nodes, s.ready, s.operator} {
 		if o.listener != nil {
-			_ = o.listener.Close()
+			all = append(all, o)
 		}
 	}
+	return all
 }
 
-func (s *servers) all() []served { return []served{s.callers, s.nodes, s.ready} }
-
 // listen binds all addresses.
 func (n *Node) listen() (*servers, error) {
 	s := n.settings()
@@ -354,7 +390,11 @@
 		{&v.ready, s.ReadyAddress, http.HandlerFunc(n.serveReady)},
 		{&v.nodes, s.CallAddress, inbound},
 		{&v.callers, s.CallerAddress, n.callers},
+		{&v.operator, s.OperatorAddress, n.operatorHandler()},
 	} {
+		if l.address == "" {
+			continue
+		}
 		b, err := net.Listen("tcp", l.address)
 		if err != nil {
 			v.close()
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -21,6 +21,9 @@
 	// no longer read: it has lost the store itself. It exceeds a watch, and is
 	// half of the time in which a leaving instance must get nothing new.
 	relayStale = watchWait + 300*time.Millisecond
+	// packWindow is the window of the compression. A larger one costs its size
+	// in memory and gains little on lists of short entries.
+	packWindow = 64 << 10
 	// relayBytes bounds an update after decompression.
 	relayBytes = 16 << 20
 )
@@ -32,7 +35,7 @@
 var errBadUpdate = namespace.NewType("bad_update")
 
 var (
-	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(packWindow))
 	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(relayBytes), zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
 )
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -47,6 +47,8 @@
 	// ControlAddress takes control messages of other nodes. Its port is the
 	// same on all hosts, like that of CallAddress.
 	ControlAddress string
+	// OperatorAddress serves status and metrics; empty serves none.
+	OperatorAddress string
 	// BackendAddress is the backend server on this host.
 	BackendAddress string
 	// PlatformURL is the store that publishes configuration and instances.
@@ -192,7 +194,11 @@
 		{"ReadyAddress", s.ReadyAddress},
 		{"ControlAddress", s.ControlAddress},
 		{"BackendAddress", s.BackendAddress},
+		{"OperatorAddress", s.OperatorAddress},
 	} {
+		if a.key == "OperatorAddress" && a.value == "" {
+			continue
+		}
 		p, err := netip.ParseAddrPort(a.value)
 		if err != nil {
 			f = append(f, Fault{a.key, "must be an IP address and port, such as 10.0.0.7:8443"})
--- /dev/null
+++ b/internal/sidecar/status.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"quetzaldock.example/quetzaldock/internal/operator"
+	"quetzaldock.example/quetzaldock/pkg/balance"
+	"quetzaldock.example/quetzaldock/pkg/door"
+	"quetzaldock.example/quetzaldock/pkg/split"
+)
+
+// Drain starts a planned stop, as the end of Run's context does.
+func (n *Node) Drain() { n.drainOnce.Do(func() { close(n.drain) }) }
+
+// operatorHandler serves status, metrics, log level and drain.
+func (n *Node) operatorHandler() http.Handler {
+	return (&operator.Server{Status: n.Status, Metrics: n.metrics, Level: n.Level, Drain: n.Drain}).Handler()
+}
+
+// Status returns what the node knows and how old it is.
+func (n *Node) Status() operator.Status {
+	set := n.settings()
+	s := operator.Status{
+		Host: set.Host, Service: set.Service, Zone: set.Zone,
+		Stopping: n.stopping.Load(), Latencies: n.metrics.Latencies(), ConfirmedAgeMs: -1,
+		Control: operator.ControlStatus{Seconds: time.Since(n.started).Seconds()},
+	}
+	from, _ := n.nextSource()
+	s.Source = sourceName(from)
+	if _, p, ok := n.log.Since(0); ok || p.Revision > 0 {
+		s.ConfirmedAgeMs = p.Age.Milliseconds()
+	}
+	l := n.door.Load()
+	s.Gate = operator.GateStatus{
+		State: n.doorState(), Running: l.Running, Permits: l.Permits, Queued: l.Queued, Connections: n.local.pool.Open(),
+	}
+	v := n.snapshot.Load()
+	if v == nil {
+		return s
+	}
+	s.Ready, s.KeyedAllowed, s.Version, s.Digest = n.listed.Load(), true, v.Version, v.Digest
+	for zone := range n.directory.View().ZonesOut {
+		s.ZonesOut = append(s.ZonesOut, zone)
+	}
+	slices.Sort(s.ZonesOut)
+	s.Accounts, s.Instances = n.accountStatus(), n.instanceStatus()
+	return s
+}
+
+// doorState names the state of the door.
+func (n *Node) doorState() string {
+	switch r := n.door.Closed(); {
+	case r != "":
+		return string(r)
+	case n.door.Cold():
+		return "Cold"
+	}
+	return "Open"
+}
+
+func (n *Node) accountStatus() []operator.AccountStatus {
+	all := []operator.AccountStatus{}
+	n.quota.Each(func(name string, l split.Limit, b split.Bucket) {
+		all = append(all, operator.AccountStatus{
+			Account: name, Rate: l.Rate, Burst: l.Burst, Capacity: b.Capacity, Tokens: b.Tokens,
+			Admitted: b.Admitted, Refused: b.Refused,
+		})
+	})
+	slices.SortFunc(all, func(a, b operator.AccountStatus) int { return cmp.Compare(a.Account, b.Account) })
+	return all
+}
+
+func (n *Node) instanceStatus() []operator.InstanceStatus {
+	var all []operator.InstanceStatus
+	for _, b := range n.chooser.Beliefs() {
+		i := operator.InstanceStatus{
+			ID: b.ID, Service: b.Service, Zone: b.Zone, Address: b.CallAddress, State: targetState(&b),
+			InFlight: b.InFlight, Load: b.Load, LatencyMs: b.Latency.Milliseconds(), ObservedAgeMs: -1,
+		}
+		if !b.ObservedAt.IsZero() {
+			i.ObservedAgeMs = time.Since(b.ObservedAt).Milliseconds()
+		}
+		all = append(all, i)
+	}
+	slices.SortFunc(all, func(a, b operator.InstanceStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return all
+}
+
+func targetState(b *balance.Belief) string {
+	switch {
+	case b.Out:
+		return string(door.ZoneOut)
+	case b.Leaving:
+		return string(door.Draining)
+	}
+	return "Ready"
+}
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -392,3 +392,28 @@
 		p.latency += time.Duration(latencyWeight * float64(latency-p.latency))
 	}
 }
+
+// A Belief is what a Chooser knows of one host.
+type Belief struct {
+	Target
+	// InFlight is the number of this node's calls there, Load the estimated
+	// calls there per permitted one.
+	InFlight int
+	Load     float64
+	// Latency is the moving average of good answers, last observed at
+	// ObservedAt; zero if there was none.
+	Latency    time.Duration
+	ObservedAt time.Time
+}
+
+// Beliefs returns what is known of all hosts, in no order.
+func (c *Chooser) Beliefs() []Belief {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	all := make([]Belief, 0, len(c.peers))
+	for _, p := range c.peers {
+		all = append(all, Belief{p.Target, p.inFlight, p.busy(now) / p.permits(), p.latency, p.observedAt})
+	}
+	return all
+}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -144,6 +144,13 @@
 	d.waiting = nil
 }
 
+// Closed returns why nothing new is taken, empty while the door is open.
+func (d *Door) Closed() Reason {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
+}
+
 // Load returns the present load.
 func (d *Door) Load() Load {
 	d.mu.Lock()
--- a/pkg/split/split.go
+++ b/pkg/split/split.go
@@ -51,7 +51,7 @@
 
 	mu      sync.Mutex
 	limits  map[string]Limit
-	buckets map[string]*bucket
+	buckets map[string]*Bucket
 	// counts holds the numbers of nodes of the last forgetNodes, newest last.
 	counts []count
 	nodes  int
@@ -62,17 +62,22 @@
 	at    time.Time
 }
 
-// A bucket holds the tokens of one account at this node.
-type bucket struct {
-	rate     float64
-	capacity float64
-	tokens   float64
-	filled   time.Time
+// A Bucket is one account's part at this node.
+type Bucket struct {
+	// Rate is in tokens per second, Capacity and Tokens in tokens.
+	Rate     float64
+	Capacity float64
+	Tokens   float64
+	// Admitted and Refused count requests since the start of the process.
+	Admitted uint64
+	Refused  uint64
+
+	filled time.Time
 }
 
 // New returns a split over one node without limits.
 func New(t Tolerance) *Split {
-	return &Split{Now: time.Now, Tolerance: t, buckets: map[string]*bucket{}, nodes: 1}
+	return &Split{Now: time.Now, Tolerance: t, buckets: map[string]*Bucket{}, nodes: 1}
 }
 
 // Configure replaces the limits of all accounts.
@@ -121,22 +126,22 @@
 		b := s.buckets[name]
 		fresh := b == nil
 		if fresh {
-			b = &bucket{filled: now}
+			b = &Bucket{filled: now}
 			s.buckets[name] = b
 		}
 		b.fill(now)
-		b.rate = part * l.Rate * (1 + usedOverage*s.Tolerance.Overage)
-		b.capacity = max(1, part*(l.Burst+usedSlack*s.Tolerance.Slack))
+		b.Rate = part * l.Rate * (1 + usedOverage*s.Tolerance.Overage)
+		b.Capacity = max(1, part*(l.Burst+usedSlack*s.Tolerance.Slack))
 		if fresh {
-			b.tokens = startLevel * b.capacity
+			b.Tokens = startLevel * b.Capacity
 		}
-		b.tokens = min(b.tokens, b.capacity)
+		b.Tokens = min(b.Tokens, b.Capacity)
 	}
 }
 
-func (b *bucket) fill(now time.Time) {
+func (b *Bucket) fill(now time.Time) {
 	if d := now.Sub(b.filled).Seconds(); d > 0 {
-		b.tokens = min(b.capacity, b.tokens+d*b.rate)
+		b.Tokens = min(b.Capacity, b.Tokens+d*b.Rate)
 	}
 	b.filled = now
 }
@@ -152,11 +157,13 @@
 		return true, 0
 	}
 	b.fill(s.Now())
-	if b.tokens >= 1 {
-		b.tokens--
+	if b.Tokens >= 1 {
+		b.Tokens--
+		b.Admitted++
 		return true, 0
 	}
-	return false, time.Duration(math.Ceil((1 - b.tokens) / b.rate * float64(time.Second)))
+	b.Refused++
+	return false, time.Duration(math.Ceil((1 - b.Tokens) / b.Rate * float64(time.Second)))
 }
 
 // GiveBack returns the token of a request that was refused and has not run.
@@ -164,6 +171,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b := s.buckets[account]; b != nil {
-		b.tokens = min(b.capacity, b.tokens+1)
+		b.Tokens = min(b.Capacity, b.Tokens+1)
+		b.Admitted--
+	}
+}
+
+// Each calls f with the limit and this node's part of each account that has a
+// limit, in no order.
+func (s *Split) Each(f func(account string, l Limit, b Bucket)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for name, b := range s.buckets {
+		b.fill(now)
+		f(name, s.limits[name], *b)
 	}
 }
