--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -577,7 +577,7 @@
 	m := newMesh(t, 3)
 	cut := m.nodes[1]
 	m.store.setFailure(BadSettings.New("503"), "i-0", "i-1", "i-2")
-	waitFor(t, "loss of the store", func() bool { return cut.sourceDown.Load() })
+	waitFor(t, "loss of the store", cut.sourceDown.Load)
 	m.store.setFailure(BadSettings.New("503"), "i-1")
 	m.store.publish(nil, fleet.Change{Kind: fleet.InstanceGone, ID: "i-1"})
 	waitFor(t, "removal at others", func() bool { return m.nodes[0].directory.View().Instances["i-1"] == nil })
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -103,6 +103,8 @@
 	choiceMu   sync.Mutex
 	choice     relay.Choice
 	sourceDown atomic.Bool
+	// readAt is when a source last answered, in Unix milliseconds.
+	readAt atomic.Int64
 	// asking is set while the store is asked about the local instance.
 	asking atomic.Bool
 	// duties are the goroutines of Run.
@@ -143,6 +145,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	setMemory(n.Settings.MemoryMB)
 	n.started = time.Now()
+	n.readAt.Store(n.started.UnixMilli())
 	written, stopWriting := context.WithCancel(context.Background())
 	var writer sync.WaitGroup
 	writer.Go(func() { n.ring.Run(written) })
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -55,6 +55,8 @@
 	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds a listing of all entries, several pages long.
 	listTimeout = 3 * time.Second
+	// unreadWarning is how long no source may answer before a line says so.
+	unreadWarning = time.Second
 	// retryMost bounds the pause where no source answers.
 	retryMost = 500 * time.Millisecond
 	// gatherFor is the pause between a change and the next watch. What is
@@ -143,6 +145,7 @@
 	if from == relay.Store {
 		n.directory.StoreBack()
 	}
+	n.readAt.Store(time.Now().UnixMilli())
 	if n.sourceDown.Swap(false) {
 		n.Log.Info("published state is read again", "source", sourceName(from))
 	}
@@ -160,8 +163,10 @@
 	if from == relay.Store {
 		n.directory.StoreLost()
 	}
-	if !n.sourceDown.Swap(true) {
-		n.Log.Warn("source of published state does not answer", "source", sourceName(from), "error", err)
+	n.Log.Debug("source of published state does not answer", "source", sourceName(from), "error", err)
+	last := time.Since(time.UnixMilli(n.readAt.Load()))
+	if last > unreadWarning && !n.sourceDown.Swap(true) {
+		n.Log.Warn("no source of published state answers", "source", sourceName(from), "error", err)
 	}
 }
 
--- a/pkg/door/evidence.go
+++ b/pkg/door/evidence.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// closesOfRestart connections closed within closeSpan are taken for a
-	// restart of the server. Single ones close for other reasons: a time-out of
-	// idle ones, or a lost answer.
+	// closesOfRestart connections closed within closeSpan, and half of those
+	// that were open, are taken for a restart of the server. Single ones close
+	// for other reasons: a time-out of idle ones, or lost answers.
 	closesOfRestart = 3
 	closeSpan       = 100 * time.Millisecond
 )
@@ -15,15 +15,17 @@
 // concurrent use.
 type Evidence struct {
 	closes int
-	since  time.Time
+	// total is the number of connections that were open at since.
+	total int
+	since time.Time
 }
 
 // Closed records that the server closed n connections while open others
 // remain, and reports whether it was probably started anew.
 func (e *Evidence) Closed(n, open int, now time.Time) bool {
 	if now.Sub(e.since) > closeSpan {
-		e.closes, e.since = 0, now
+		e.closes, e.total, e.since = 0, open+n, now
 	}
 	e.closes += n
-	return e.closes >= closesOfRestart || open <= 0
+	return open <= 0 || (e.closes >= closesOfRestart && 2*e.closes >= e.total)
 }
--- a/pkg/door/evidence_test.go
+++ b/pkg/door/evidence_test.go
@@ -20,6 +20,10 @@
 	assert.Assert(t, !e.Closed(1, 5, now))
 	assert.Assert(t, !e.Closed(1, 4, now.Add(10*time.Millisecond)))
 	assert.Assert(t, e.Closed(1, 3, now.Add(20*time.Millisecond)))
+	now = now.Add(time.Second)
+	for i := range 5 {
+		assert.Assert(t, !e.Closed(1, 12-i, now.Add(time.Duration(i)*time.Millisecond)), "lost answers under load")
+	}
 	assert.Assert(t, e.Closed(1, 0, now.Add(time.Minute)))
 	assert.Assert(t, e.Closed(6, 2, now.Add(time.Hour)))
 }
