--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -30,6 +30,8 @@
 	// returnSpread is the part of that time by which callers are spread, so
 	// that those refused together do not come back together.
 	returnSpread = 0.5
+	// statusCallerLeft stands in logs and metrics for an answer that nobody got.
+	statusCallerLeft = 499
 	// returnUnknown is that time where nothing is known of the cause's end.
 	returnUnknown = 250 * time.Millisecond
 )
@@ -259,6 +261,7 @@
 	r := rejectionOf(err)
 	o.Status, o.Reason, o.Detail = r.status, r.reason, r.detail
 	if in.Context().Err() != nil {
+		o.Status, o.Reason = statusCallerLeft, "CallerLeft"
 		return
 	}
 	h := w.Header()
