--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -1,31 +1,23 @@
 package node
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
-	"net/url"
-	"os"
-	"strings"
 
 	"github.com/joomcode/errorx"
-	"github.com/pelletier/go-toml/v2"
+
+	"quetzaldock.example/quetzaldock/internal/settings"
 )
 
 var (
 	namespace = errorx.NewNamespace("node")
-	// BadSettings means that the settings cannot be used; its message lists
-	// every fault with its key.
-	BadSettings = namespace.NewType("bad_settings")
+	// BadSettings means that the settings cannot be used.
+	BadSettings = settings.Bad
 	// ListenFailed means that an address could not be bound.
 	ListenFailed = namespace.NewType("listen_failed")
 )
 
-// settingsBytes bounds the size of a settings file.
-const settingsBytes = 64 << 10
-
 // Settings configure one node. They are read once, at the start.
 type Settings struct {
 	// Host is the ID of this host. It is never given to another host.
@@ -70,57 +62,21 @@
 // Enabled reports whether connections between nodes use TLS.
 func (t TLSSettings) Enabled() bool { return t.CertificateFile != "" }
 
-// A Fault is one problem of the settings.
-type Fault struct {
-	Key    string
-	Reason string
-}
-
-// Faults lists every problem of a settings file.
-type Faults []Fault
-
-// Error implements error.
-func (f Faults) Error() string {
-	var b strings.Builder
-	for i, x := range f {
-		if i > 0 {
-			b.WriteString("; ")
-		}
-		fmt.Fprintf(&b, "%s: %s", x.Key, x.Reason)
-	}
-	return b.String()
-}
-
 // ReadSettings reads and checks a settings file. The error is of type
-// BadSettings and lists all faults.
+// settings.Bad and lists all faults.
 func ReadSettings(path string) (*Settings, error) {
-	b, err := os.ReadFile(path)
+	b, err := settings.Read(path)
 	if err != nil {
-		return nil, BadSettings.Wrap(err, "cannot read the settings")
+		return nil, err
 	}
 	return ParseSettings(b)
 }
 
 // ParseSettings checks settings in TOML. Unknown keys are faults.
 func ParseSettings(b []byte) (*Settings, error) {
-	if len(b) > settingsBytes {
-		return nil, BadSettings.New("settings are larger than %d bytes", settingsBytes)
-	}
 	s := &Settings{LogLevel: "Info", StopMs: defaultStopMs}
-	var f Faults
-	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if !errors.As(err, &strict) {
-			return nil, BadSettings.Wrap(err, "settings are not valid TOML for their keys")
-		}
-		for i := range strict.Errors {
-			f = append(f, Fault{strings.Join(strict.Errors[i].Key(), "."), "unknown key"})
-		}
-	}
-	f = append(f, s.Check()...)
-	if len(f) > 0 {
-		return nil, BadSettings.Wrap(f, "%d faults", len(f))
+	if err := settings.Parse(b, s, s.Check); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
@@ -130,72 +86,45 @@
 const defaultStopMs = 310_000
 
 // Check returns every fault of the settings.
-func (s *Settings) Check() Faults {
-	var f Faults
-	f = append(f, s.checkNames()...)
+func (s *Settings) Check() settings.Faults {
+	f := settings.CheckNames([]settings.Text{
+		{Key: "Host", Value: s.Host}, {Key: "Service", Value: s.Service}, {Key: "Zone", Value: s.Zone},
+	})
 	f = append(f, s.checkAddresses()...)
 	f = append(f, s.checkTLS()...)
 	if err := new(slog.LevelVar).UnmarshalText([]byte(s.LogLevel)); err != nil {
-		f = append(f, Fault{"LogLevel", "must be Debug, Info, Warn or Error"})
+		f = append(f, settings.Fault{Key: "LogLevel", Reason: "must be Debug, Info, Warn or Error"})
 	}
 	if s.StopMs <= 0 || s.StopMs > 600_000 {
-		f = append(f, Fault{"StopMs", "must be from 1 to 600000"})
+		f = append(f, settings.Fault{Key: "StopMs", Reason: "must be from 1 to 600000"})
 	}
 	if s.FleetHint < 0 {
-		f = append(f, Fault{"FleetHint", "must not be negative"})
+		f = append(f, settings.Fault{Key: "FleetHint", Reason: "must not be negative"})
 	}
 	return f
 }
 
-func (s *Settings) checkNames() Faults {
-	var f Faults
-	for _, n := range []struct{ key, value string }{
-		{"Host", s.Host}, {"Service", s.Service}, {"Zone", s.Zone},
-	} {
-		if strings.TrimSpace(n.value) == "" {
-			f = append(f, Fault{n.key, "must not be empty"})
-		}
-	}
-	return f
-}
-
-func (s *Settings) checkAddresses() Faults {
-	var f Faults
-	seen := map[string]string{}
-	for _, a := range []struct{ key, value string }{
-		{"CallerAddress", s.CallerAddress},
-		{"CallAddress", s.CallAddress},
-		{"ControlAddress", s.ControlAddress},
-		{"OperatorAddress", s.OperatorAddress},
-		{"BackendAddress", s.BackendAddress},
-	} {
-		p, err := netip.ParseAddrPort(a.value)
-		if err != nil {
-			f = append(f, Fault{a.key, "must be an IP address and port, such as 10.0.0.7:8443"})
-			continue
-		}
-		if other := seen[a.value]; other != "" && p.Port() != 0 {
-			f = append(f, Fault{a.key, "is the same as " + other})
-		}
-		seen[a.value] = a.key
-	}
+func (s *Settings) checkAddresses() settings.Faults {
+	f := settings.CheckAddresses([]settings.Text{
+		{Key: "CallerAddress", Value: s.CallerAddress},
+		{Key: "CallAddress", Value: s.CallAddress},
+		{Key: "ControlAddress", Value: s.ControlAddress},
+		{Key: "OperatorAddress", Value: s.OperatorAddress},
+		{Key: "BackendAddress", Value: s.BackendAddress},
+	})
 	for i, a := range s.Seeds {
 		if _, err := netip.ParseAddrPort(a); err != nil {
-			f = append(f, Fault{fmt.Sprintf("Seeds[%d]", i), "must be an IP address and port"})
+			f = append(f, settings.Fault{Key: fmt.Sprintf("Seeds[%d]", i), Reason: "must be an IP address and port"})
 		}
 	}
-	u, err := url.Parse(s.PlatformURL)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		f = append(f, Fault{"PlatformURL", "must be an http or https URL"})
-	}
-	return f
+	return append(f, settings.CheckURL("PlatformURL", s.PlatformURL)...)
 }
 
-func (s *Settings) checkTLS() Faults {
+func (s *Settings) checkTLS() settings.Faults {
 	t := s.TLS
-	var f Faults
+	var f settings.Faults
 	if (t.CertificateFile == "") != (t.KeyFile == "") || (t.KeyFile == "") != (t.AuthorityFile == "") {
-		f = append(f, Fault{"TLS", "needs CertificateFile, KeyFile and AuthorityFile together"})
+		f = append(f, settings.Fault{Key: "TLS", Reason: "needs CertificateFile, KeyFile and AuthorityFile together"})
 	}
 	if t.Enabled() {
 		return f
@@ -205,7 +134,7 @@
 	} {
 		p, err := netip.ParseAddrPort(a.value)
 		if err == nil && !p.Addr().IsLoopback() {
-			f = append(f, Fault{a.key, "needs TLS unless it is a loopback address"})
+			f = append(f, settings.Fault{Key: a.key, Reason: "needs TLS unless it is a loopback address"})
 		}
 	}
 	return f
--- a/internal/operator/ring.go
+++ b/internal/operator/ring.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"strconv"
-
 	"sync/atomic"
 	"time"
 )
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -1,33 +1,20 @@
 package sidecar
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net/netip"
-	"net/url"
-	"os"
 	"reflect"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/pelletier/go-toml/v2"
+
+	"quetzaldock.example/quetzaldock/internal/settings"
 )
 
 var namespace = errorx.NewNamespace("sidecar")
 
-var (
-	// BadSettings means that the settings cannot be used; its message lists
-	// every fault with its key.
-	BadSettings = namespace.NewType("bad_settings")
-	// ListenFailed means that an address could not be bound.
-	ListenFailed = namespace.NewType("listen_failed")
-)
-
-// settingsBytes bounds the size of a settings file.
-const settingsBytes = 64 << 10
+// ListenFailed means that an address could not be bound.
+var ListenFailed = namespace.NewType("listen_failed")
 
 // Settings configure one node beside a backend server of a deployment whose
 // store is only read. They are read at the start and again on SIGHUP.
@@ -104,74 +91,39 @@
 	}
 }
 
-// A Fault is one problem of the settings.
-type Fault struct {
-	Key    string
-	Reason string
-}
-
-// Faults lists every problem of a settings file.
-type Faults []Fault
-
-// Error implements error.
-func (f Faults) Error() string {
-	all := make([]string, len(f))
-	for i, x := range f {
-		all[i] = x.Key + ": " + x.Reason
-	}
-	return strings.Join(all, "; ")
-}
-
 // ReadSettings reads and checks a settings file. The error is of type
-// BadSettings and lists all faults.
+// settings.Bad and lists all faults.
 func ReadSettings(path string) (*Settings, error) {
-	b, err := os.ReadFile(path)
+	b, err := settings.Read(path)
 	if err != nil {
-		return nil, BadSettings.Wrap(err, "cannot read the settings")
+		return nil, err
 	}
 	return ParseSettings(b)
 }
 
 // ParseSettings checks settings in TOML. Unknown keys are faults.
 func ParseSettings(b []byte) (*Settings, error) {
-	if len(b) > settingsBytes {
-		return nil, BadSettings.New("settings are larger than %d bytes", settingsBytes)
-	}
 	s := &Settings{LogLevel: "Info", MemoryMB: 128, MaxConnections: defaultConnections}
-	var f Faults
-	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if !errors.As(err, &strict) {
-			return nil, BadSettings.Wrap(err, "settings are not valid TOML for their keys")
-		}
-		for i := range strict.Errors {
-			f = append(f, Fault{strings.Join(strict.Errors[i].Key(), "."), "unknown key"})
-		}
-	}
-	if f = append(f, s.Check()...); len(f) > 0 {
-		return nil, BadSettings.Wrap(f, "%d faults", len(f))
+	if err := settings.Parse(b, s, s.Check); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
 // Check returns every fault of the settings.
-func (s *Settings) Check() Faults {
-	var f Faults
-	for _, n := range []struct{ key, value string }{{"Host", s.Host}, {"Service", s.Service}, {"Zone", s.Zone}} {
-		if strings.TrimSpace(n.value) == "" {
-			f = append(f, Fault{n.key, "must not be empty"})
-		}
-	}
+func (s *Settings) Check() settings.Faults {
+	f := settings.CheckNames([]settings.Text{
+		{Key: "Host", Value: s.Host}, {Key: "Service", Value: s.Service}, {Key: "Zone", Value: s.Zone},
+	})
 	f = append(f, s.checkAddresses()...)
 	if err := new(slog.LevelVar).UnmarshalText([]byte(s.LogLevel)); err != nil {
-		f = append(f, Fault{"LogLevel", "must be Debug, Info, Warn or Error"})
+		f = append(f, settings.Fault{Key: "LogLevel", Reason: "must be Debug, Info, Warn or Error"})
 	}
 	if s.MemoryMB < minMemoryMB {
-		f = append(f, Fault{"MemoryMB", fmt.Sprintf("must be at least %d", minMemoryMB)})
+		f = append(f, settings.Fault{Key: "MemoryMB", Reason: fmt.Sprintf("must be at least %d", minMemoryMB)})
 	}
 	if s.MaxConnections < 1 {
-		f = append(f, Fault{"MaxConnections", "must be at least 1"})
+		f = append(f, settings.Fault{Key: "MaxConnections", Reason: "must be at least 1"})
 	}
 	return f
 }
@@ -185,33 +137,16 @@
 // minMemoryMB is what a node needs to start and apply a configuration.
 const minMemoryMB = 32
 
-func (s *Settings) checkAddresses() Faults {
-	var f Faults
-	seen := map[string]string{}
-	for _, a := range []struct{ key, value string }{
-		{"CallerAddress", s.CallerAddress},
-		{"CallAddress", s.CallAddress},
-		{"ReadyAddress", s.ReadyAddress},
-		{"ControlAddress", s.ControlAddress},
-		{"BackendAddress", s.BackendAddress},
-		{"OperatorAddress", s.OperatorAddress},
-	} {
-		if a.key == "OperatorAddress" && a.value == "" {
-			continue
-		}
-		p, err := netip.ParseAddrPort(a.value)
-		if err != nil {
-			f = append(f, Fault{a.key, "must be an IP address and port, such as 10.0.0.7:8443"})
-			continue
-		}
-		if other := seen[a.value]; other != "" && p.Port() != 0 {
-			f = append(f, Fault{a.key, "is the same as " + other})
-		}
-		seen[a.value] = a.key
+func (s *Settings) checkAddresses() settings.Faults {
+	all := []settings.Text{
+		{Key: "CallerAddress", Value: s.CallerAddress},
+		{Key: "CallAddress", Value: s.CallAddress},
+		{Key: "ReadyAddress", Value: s.ReadyAddress},
+		{Key: "ControlAddress", Value: s.ControlAddress},
+		{Key: "BackendAddress", Value: s.BackendAddress},
 	}
-	u, err := url.Parse(s.PlatformURL)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		f = append(f, Fault{"PlatformURL", "must be an http or https URL"})
+	if s.OperatorAddress != "" {
+		all = append(all, settings.Text{Key: "OperatorAddress", Value: s.OperatorAddress})
 	}
-	return f
+	return append(settings.CheckAddresses(all), settings.CheckURL("PlatformURL", s.PlatformURL)...)
 }
--- /dev/null
+++ b/internal/sidecar/settings_test.go
@@ -0,0 +1,74 @@
+package sidecar
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/settings"
+)
+
+const goodSettings = `
+Host = "surco-1"
+Service = "desk"
+Zone = "surco"
+CallerAddress = "10.0.0.1:80"
+CallAddress = "10.0.0.1:81"
+ReadyAddress = "10.0.0.1:82"
+ControlAddress = "10.0.0.1:83"
+BackendAddress = "10.0.0.1:84"
+PlatformURL = "http://10.9.0.1:90"
+
+[Bounds]
+drainS = 2.5
+`
+
+// Guards against settings that are half right and used all the same, and
+// against a message that names one fault of several.
+func TestParseSettingsListsAllFaults(t *testing.T) {
+	s, err := ParseSettings([]byte(goodSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.MaxConnections, defaultConnections)
+	assert.Equal(t, s.Bounds["drainS"], 2.5)
+	bad := strings.NewReplacer(
+		`"10.0.0.1:81"`, `"10.0.0.1:80"`, `"10.0.0.1:82"`, `"here"`, `"desk"`, `" "`, `http:`, `ftp:`,
+	).Replace(goodSettings)
+	_, err = ParseSettings([]byte("Colour = \"red\"\nMemoryMB = 3\nLogLevel = \"Loud\"\n" + bad))
+	assert.Assert(t, errorx.IsOfType(err, settings.Bad), "%v", err)
+	for _, want := range []string{
+		"Colour: unknown key", "MemoryMB:", "LogLevel:", "CallAddress: is the same as CallerAddress",
+		"ReadyAddress: must be an IP", "Service: must not be empty", "PlatformURL:",
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+	_, err = ReadSettings(filepath.Join(t.TempDir(), "none"))
+	assert.Assert(t, errorx.IsOfType(err, settings.Bad), "%v", err)
+}
+
+// Guards against a changed file that ends the process, takes addresses away
+// under it, or is not noticed.
+func TestSettingsAreReadAgain(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(goodSettings), 0o600))
+	n.Reload = func() (*Settings, error) { return ReadSettings(file) }
+	before := *n.settings()
+	n.reload()
+	assert.Equal(t, n.settings().CallerAddress, before.CallerAddress)
+	assert.Equal(t, n.settings().BackendAddress, "10.0.0.1:84")
+	assert.NilError(t, os.WriteFile(file, []byte("Service ="), 0o600))
+	n.reload()
+	assert.Equal(t, n.settings().BackendAddress, "10.0.0.1:84")
+	assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(goodSettings, "10.0.0.1:84", before.BackendAddress, 1)), 0o600))
+	n.reload()
+	waitFor(t, "service after the change", func() bool {
+		time.Sleep(10 * time.Millisecond)
+		return m.ask(t, 0, "GET", "/list/1").status == 200
+	})
+}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -30,10 +30,10 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.Log.Info("stopping")
-	time.Sleep(n.StopPlan.Door)
+	pauseUntil(began.Add(n.StopPlan.Door))
 	n.doorClosed.Store(true)
 	n.door.Close(door.Leaving)
-	time.Sleep(time.Until(began.Add(n.StopPlan.Callers)))
+	pauseUntil(began.Add(n.StopPlan.Callers))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.Stop-n.StopPlan.Spare))
 	defer cancel()
 	var w sync.WaitGroup
@@ -47,3 +47,7 @@
 	}
 	w.Wait()
 }
+
+// pauseUntil waits for a time of the stop plan; nothing cuts a stop short but
+// the end of the process.
+func pauseUntil(t time.Time) { sleep(context.Background(), time.Until(t)) }
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -243,8 +243,10 @@
 		name          string
 		before, after int
 	}{
-		{"HeaderBytes", a.HeaderBytes, b.HeaderBytes}, {"BodyBytes", a.BodyBytes, b.BodyBytes},
-		{"HeaderMs", a.HeaderMs, b.HeaderMs}, {"IdleMs", a.IdleMs, b.IdleMs},
+		{"HeaderBytes", a.HeaderBytes, b.HeaderBytes},
+		{"BodyBytes", a.BodyBytes, b.BodyBytes},
+		{"HeaderMs", a.HeaderMs, b.HeaderMs},
+		{"IdleMs", a.IdleMs, b.IdleMs},
 	} {
 		c.add(KindFleet, "", "caller limit "+l.name, limitText(l.before), limitText(l.after))
 	}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -78,10 +78,10 @@
 	seq     uint64
 	// closed is why nothing new is taken, empty while the door is open.
 	closed Reason
-	// coldUntil is until when starts are counted, coldPerSecond their limit;
+	// coldUntil is until when starts are counted, coldRate their limit;
 	// zero means no limit.
-	coldUntil     time.Time
-	coldPerSecond float64
+	coldUntil time.Time
+	coldRate  float64
 	// starts holds the times of the starts of the last coldWindow.
 	starts []time.Time
 	// mean is the moving average of the time a request runs, spread that of
@@ -117,7 +117,7 @@
 func (d *Door) SetCold(until time.Time, perSecond float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.coldUntil, d.coldPerSecond = until, perSecond
+	d.coldUntil, d.coldRate = until, perSecond
 	d.dispatch(d.Now())
 }
 
@@ -262,7 +262,7 @@
 	}
 	wait := time.Duration(float64(ahead) * float64(d.mean) / float64(d.slots))
 	if d.isCold(now) {
-		wait = max(wait, time.Duration(float64(ahead)/d.coldPerSecond*float64(time.Second)))
+		wait = max(wait, time.Duration(float64(ahead)/d.coldRate*float64(time.Second)))
 	}
 	return wait
 }
@@ -337,10 +337,10 @@
 }
 
 func (d *Door) isCold(now time.Time) bool {
-	return d.coldPerSecond > 0 && now.Before(d.coldUntil)
+	return d.coldRate > 0 && now.Before(d.coldUntil)
 }
 
-func (d *Door) coldLimit() int { return max(1, int(math.Floor(d.coldPerSecond))) }
+func (d *Door) coldLimit() int { return max(1, int(math.Floor(d.coldRate))) }
 
 // permits is the number of requests that may run at once. A cold server's is
 // the number that its rate sustains.
@@ -348,7 +348,7 @@
 	if !d.isCold(now) {
 		return d.slots
 	}
-	return min(d.slots, max(1, int(d.coldPerSecond*d.mean.Seconds())))
+	return min(d.slots, max(1, int(d.coldRate*d.mean.Seconds())))
 }
 
 // free reports whether a request may start now.
@@ -356,7 +356,7 @@
 	if d.running >= d.slots {
 		return false
 	}
-	if d.coldPerSecond <= 0 {
+	if d.coldRate <= 0 {
 		return true
 	}
 	d.forget(now)
@@ -376,7 +376,7 @@
 // since it may turn out to be cold.
 func (d *Door) start(now time.Time) *Pass {
 	d.running++
-	if d.coldPerSecond > 0 {
+	if d.coldRate > 0 {
 		d.starts = append(d.starts, now)
 	}
 	return &Pass{door: d, begun: now}
