--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -25,11 +25,7 @@
 	// NotExecuted marks an answer of a backend server that did not run the
 	// request.
 	NotExecuted string
-	// InstanceID is the ID that a backend server states in its health answer,
-	// and ColdLeft the milliseconds for which it stays cold.
-	InstanceID string
-	ColdLeft   string
-	// InstanceLoad is running, waiting and slots of a backend server,
-	// separated by commas.
-	InstanceLoad string
+	// ColdLeft is the milliseconds for which a backend server stays cold, in
+	// its health answers.
+	ColdLeft string
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -51,7 +51,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Peers sends requests to the nodes beside other instances.
+// A peers sends requests to the nodes beside other instances.
 type peers struct {
 	names *Headers
 	pools http1.Set[string]
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -54,22 +54,17 @@
 
 // Bounds are the limits in time and number that a deployment states.
 type Bounds struct {
-	// Apply is the time within which an accepted configuration is in force.
-	Apply time.Duration
-	// Drain is the time within which a leaving instance gets nothing new.
-	Drain time.Duration
 	// Stop is the time after which a process that was asked to stop is killed.
 	Stop time.Duration
-	// RetryRatio of the requests for a service, and RetryExtra more, may be
-	// repeats within RetryWindow, over the whole fleet.
-	RetryRatio  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
+	// RetryRatio of the requests for a service, and RetryExtra more within the
+	// deployment's window, may be repeats over the whole fleet.
+	RetryRatio float64
+	RetryExtra float64
 	// QuotaOverage is the part by which a client account may exceed its limit
-	// over the whole fleet within QuotaWindow, besides QuotaSlack requests.
+	// over the whole fleet, besides QuotaSlack requests within the deployment's
+	// window.
 	QuotaOverage float64
 	QuotaSlack   float64
-	QuotaWindow  time.Duration
 	// ColdOverage is the part by which a cold server may get more requests a
 	// second than its service states.
 	ColdOverage float64
@@ -83,9 +78,9 @@
 // DefaultBounds hold where a deployment states none.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Apply: 2 * time.Second, Drain: 2 * time.Second, Stop: 6 * time.Second,
-		RetryRatio: 0.2, RetryExtra: 62, RetryWindow: 10 * time.Second,
-		QuotaOverage: 0.25, QuotaSlack: 20, QuotaWindow: 5 * time.Second,
+		Stop:       6 * time.Second,
+		RetryRatio: 0.2, RetryExtra: 62,
+		QuotaOverage: 0.25, QuotaSlack: 20,
 		ColdOverage: 0.5,
 		LapseGrace:  2 * time.Second,
 	}
