Give the least outage its default; hold removals back only after a gap in one's own knowledge

The bound LeastOutage had no default and was zero, so every read counted as the end of an outage and kept instances for 2 s after they had left; readers of a host that was cut from the store took over its outage besides. A gap of 2 s in what this node itself knew, from whatever source, is an outage now. A removal that is held back for the local instance is still told to other nodes. TestEveryBoundHasADefault and TestOnlyAnOutageKeepsMissingEntries fail without it.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -25,9 +25,6 @@
 	Known bool `cbor:"3,keyasint,omitempty"`
 	// AgeMs is how long ago the store confirmed the revision, in milliseconds.
 	AgeMs int64 `cbor:"4,keyasint,omitempty"`
-	// ReturnedMs is how long ago the store came back from an outage in which
-	// entries may have lapsed, in milliseconds, zero if that is long ago.
-	ReturnedMs int64 `cbor:"6,keyasint,omitempty"`
 	// Bodies are updates, each encoded by its sender.
 	Bodies [][]byte `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -17,11 +17,16 @@
 func (n *Node) accept(u *Update) {
 	n.acceptMu.Lock()
 	defer n.acceptMu.Unlock()
+	n.directory.Confirmed(u.Confirmed)
+	changes := u.Changes
+	if u.held != nil {
+		changes = u.held
+	}
 	if u.Whole {
-		n.directory.Replace(u.Changes)
+		n.directory.Replace(changes)
 		n.listed.Store(true)
-	} else if len(u.Changes) > 0 {
-		n.directory.Apply(u.Changes)
+	} else if len(changes) > 0 {
+		n.directory.Apply(changes)
 	}
 	for i := range u.Changes {
 		c := &u.Changes[i]
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -152,5 +152,8 @@
 	case n.unreachable.Load():
 		r = door.Unreachable
 	}
+	if old := n.door.Closed(); old != r {
+		n.Log.Info("door", "state", string(r), "before", string(old))
+	}
 	n.door.Close(r)
 }
--- a/internal/sidecar/own.go
+++ b/internal/sidecar/own.go
@@ -22,7 +22,7 @@
 	if own == nil || own.State != fleet.Ready {
 		return
 	}
-	kept := u.Changes[:0:0]
+	kept := make([]fleet.Change, 0, len(u.Changes)+1)
 	listed, gone := false, false
 	for i := range u.Changes {
 		c := &u.Changes[i]
@@ -40,7 +40,7 @@
 	if !gone || listed {
 		return
 	}
-	u.Changes = kept
+	u.held = kept
 	if n.asking.CompareAndSwap(false, true) {
 		n.Log.Info("local instance is no longer published; asking the store", "instance", own.ID)
 		n.duties.Go(func() { n.askAboutOwn(ctx, *own) })
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -66,7 +66,6 @@
 	for {
 		entries, p, ok := n.log.Since(q.After)
 		out := peer.UpdatesReply{Revision: p.Revision, AgeMs: p.Age.Milliseconds(), Known: n.listed.Load()}
-		out.ReturnedMs = n.directory.ReturnedFor().Milliseconds()
 		switch {
 		case !out.Known:
 			return out, nil
@@ -109,6 +108,10 @@
 	v := n.directory.View()
 	n.acceptMu.Unlock()
 	for _, i := range v.Instances {
+		if n.asking.Load() && i.Address == n.settings().BackendAddress {
+			// Held back here only, see holdOwn.
+			continue
+		}
 		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: *i})
 	}
 	for zone := range v.ZonesOut {
@@ -131,9 +134,6 @@
 		if !r.Known || age > relayStale {
 			return nil, ErrStale.New("node %s: known %t, %s old", address, r.Known, age)
 		}
-		if r.ReturnedMs > 0 {
-			n.directory.StoreReturned(time.Now().Add(-time.Duration(r.ReturnedMs) * time.Millisecond))
-		}
 		return joinUpdates(r, asked.Add(-age))
 	}
 	return Source{
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -83,6 +83,7 @@
 		QuotaOverage: 0.25, QuotaSlack: 20,
 		ColdOverage: 0.5,
 		LapseGrace:  2 * time.Second,
+		LeastOutage: 2 * time.Second,
 	}
 }
 
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +73,13 @@
 		return m.ask(t, 0, "GET", "/list/1").status == 200
 	})
 }
+
+// Guards against a bound without a default, which then means no time at all: an
+// outage of no length kept instances for 2 s after they had left (DRAIN, trouble-1
+// --seed 234540049921 of olla-andina).
+func TestEveryBoundHasADefault(t *testing.T) {
+	v := reflect.ValueOf(DefaultBounds())
+	for i := range v.NumField() {
+		assert.Assert(t, !v.Field(i).IsZero(), v.Type().Field(i).Name)
+	}
+}
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -35,6 +35,10 @@
 	Changes   []fleet.Change
 	// Published is the newest configuration among the changes, or nil.
 	Published *Published
+
+	// held are the changes that this node applies in place of Changes, nil for
+	// all of them, see holdOwn. Other nodes are told Changes.
+	held []fleet.Change
 }
 
 // A Published is one configuration as operators published it.
@@ -142,9 +146,6 @@
 	n.choiceMu.Lock()
 	n.choice.Worked(from)
 	n.choiceMu.Unlock()
-	if from == relay.Store {
-		n.directory.StoreBack()
-	}
 	n.readAt.Store(time.Now().UnixMilli())
 	if n.sourceDown.Swap(false) {
 		n.Log.Info("published state is read again", "source", sourceName(from))
@@ -160,9 +161,6 @@
 	n.choiceMu.Lock()
 	n.choice.Failed(from, time.Now())
 	n.choiceMu.Unlock()
-	if from == relay.Store {
-		n.directory.StoreLost()
-	}
 	n.Log.Debug("source of published state does not answer", "source", sourceName(from), "error", err)
 	last := time.Since(time.UnixMilli(n.readAt.Load()))
 	if last > unreadWarning && !n.sourceDown.Swap(true) {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -39,10 +39,9 @@
 	mu        sync.Mutex
 	instances map[string]*Instance
 	zonesOut  map[string]bool
-	// lostAt is since when the store does not answer, zero while it does.
-	lostAt time.Time
-	// returnedAt is when it answered again after the last outage.
-	returnedAt time.Time
+	// confirmedAt is the latest time as of which this node knew the store's
+	// state, from the store or from another node.
+	confirmedAt time.Time
 	// graceUntil is until when missing entries are kept after an outage.
 	graceUntil time.Time
 	// lapsed holds the instances whose entry is missing, by the time at which
@@ -111,51 +110,19 @@
 	d.publish()
 }
 
-// StoreLost records that the store does not answer.
-func (d *Directory) StoreLost() {
+// Confirmed records that what follows is the store's state as of a time. After
+// a gap of LeastOutage the store was away, for this node and all that it reads,
+// and entries may have lapsed meanwhile. A node that learned of the state from
+// others all the while has seen no outage, whoever could not reach the store.
+func (d *Directory) Confirmed(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lostAt.IsZero() {
-		d.lostAt = d.Now()
+	if !d.confirmedAt.IsZero() && at.Sub(d.confirmedAt) >= d.LeastOutage {
+		d.graceUntil = d.Now().Add(d.LapseGrace)
 	}
-}
-
-// StoreBack records an answer of the store.
-func (d *Directory) StoreBack() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Now()
-	if !d.lostAt.IsZero() && now.Sub(d.lostAt) >= d.LeastOutage {
-		d.returned(now)
-	}
-	d.lostAt = time.Time{}
-}
-
-// StoreReturned records that the store came back from an outage at a time, as
-// another node says.
-func (d *Directory) StoreReturned(at time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.returned(at)
-}
-
-func (d *Directory) returned(at time.Time) {
-	if at.After(d.returnedAt) {
-		d.returnedAt = at
-		d.graceUntil = at.Add(d.LapseGrace)
-	}
-}
-
-// ReturnedFor returns how long ago the store came back, zero if the time for
-// lapsed entries is over.
-func (d *Directory) ReturnedFor() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Now()
-	if !now.Before(d.graceUntil) {
-		return 0
+	if at.After(d.confirmedAt) {
+		d.confirmedAt = at
 	}
-	return max(time.Millisecond, now.Sub(d.returnedAt))
 }
 
 // Tick removes lapsed instances whose time is over.
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -50,9 +50,9 @@
 func TestEntriesThatLapseInAnOutageHaveTimeToReturn(t *testing.T) {
 	d, c := newDirectory()
 	d.Apply([]fleet.Change{set("a", "desk", "10.0.0.1:80", 1), set("b", "desk", "10.0.0.2:80", 1)})
-	d.StoreLost()
+	d.Confirmed(c.now)
 	c.now = c.now.Add(10 * time.Second)
-	d.StoreBack()
+	d.Confirmed(c.now)
 	d.Replace(nil)
 	assert.Equal(t, len(d.View().Instances), 2)
 	c.now = c.now.Add(time.Second)
@@ -92,23 +92,25 @@
 	assert.Assert(t, v.Usable(v.Instances["a"]))
 }
 
-// Guards against instances that are kept for seconds after they left because
-// one read of the store failed shortly before, and against a node that reads
-// another one and does not know of an outage.
+// Guards against instances that are kept for seconds after they left although
+// the node knew the store's state all the while, as happened to readers of a
+// node that was cut from the store.
 func TestOnlyAnOutageKeepsMissingEntries(t *testing.T) {
 	d, c := newDirectory()
 	d.Apply([]fleet.Change{set("a", "desk", "10.0.0.1:80", 1), set("b", "desk", "10.0.0.2:80", 1)})
-	d.StoreLost()
-	c.now = c.now.Add(time.Second)
-	d.StoreBack()
+	for range 10 {
+		d.Confirmed(c.now)
+		c.now = c.now.Add(1900 * time.Millisecond)
+	}
+	d.Confirmed(c.now.Add(-time.Second))
 	d.Apply([]fleet.Change{gone("a")})
 	assert.Assert(t, d.View().Instances["a"] == nil)
-	assert.Equal(t, d.ReturnedFor(), time.Duration(0))
-	d.StoreReturned(c.now.Add(-time.Second))
-	assert.Equal(t, d.ReturnedFor(), time.Second)
+	c.now = c.now.Add(3 * time.Second)
+	d.Confirmed(c.now)
+	d.Confirmed(c.now.Add(-time.Second))
 	d.Apply([]fleet.Change{gone("b")})
 	assert.Assert(t, d.View().Instances["b"] != nil)
-	c.now = c.now.Add(time.Second)
+	c.now = c.now.Add(2 * time.Second)
 	d.Tick()
 	assert.Assert(t, d.View().Instances["b"] == nil)
 }
