Keep the cold time of the present instance; hold the door shut until its cold rate is known

After all hosts lost power a late entry of the earlier instance at the same address came in one update with the entry of the present one, and its 35 ms ended the cold time of 2.99 s. Ruled out: resends of the pool (each request started once), the door's window.

Change: a published cold time counts only for the newest instance of the address and only extends. Besides, a node that knows instances but no configuration yet had its door open without a cold rate for a moment; it stays shut for Starting, and the first configuration sets the cold time before the door opens.

Tests: TestEarlierInstanceDoesNotEndTheColdTime, TestPublishedColdTimeOnlyExtends, TestDoorStaysShutUntilTheColdRateIsKnown; all three failed before.

--- a/internal/sidecar/apply.go
+++ b/internal/sidecar/apply.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 	"quetzaldock.example/quetzaldock/pkg/split"
@@ -59,14 +61,14 @@
 		n.Log.Error("configuration refused", "version", p.Version, "error", err)
 		return
 	}
+	if old == nil {
+		n.guardFirst(v)
+	}
 	n.snapshot.Store(v)
 	n.published = p
 	n.quota.Configure(limits(v))
 	n.Log.Info("configuration in force", "version", v.Version, "routes", len(v.Routes), "accounts", len(v.Accounts))
 	n.applyFleet()
-	if old == nil {
-		n.suspectRestart("first configuration")
-	}
 }
 
 // limits returns the limit of each account.
@@ -93,9 +95,25 @@
 	n.budget.SetMost(budgetPart * n.Bounds.RetryExtra / float64(max(1, nodes)))
 }
 
-// publishedCold applies what the local instance published of its start.
+// publishedCold applies what an instance at the backend server's address
+// published of its start. Entries of earlier instances at that address come
+// late and say nothing of the present one. The entry is older than what the
+// server says itself, so it never shortens a cold time.
 func (n *Node) publishedCold(i *fleet.Instance) {
-	if s := n.ownService(); s != nil {
+	own := n.directory.View().ByAddress[i.Address]
+	if own == nil || own.ID != i.ID || own.Born != i.Born {
+		return
+	}
+	if s := n.ownService(); s != nil && time.Now().Add(i.ColdFor).After(n.door.ColdUntil()) {
 		n.setCold(i.ColdFor, s)
 	}
 }
+
+// guardFirst takes the local server for cold before the door opens for the
+// first time: whether it has just been started is not known.
+func (n *Node) guardFirst(v *config.Snapshot) {
+	if s := v.Services[n.settings().Service]; s != nil && s.ColdPerSecond > 0 {
+		n.setCold(coldUnknown, s)
+	}
+	n.askSoon()
+}
--- /dev/null
+++ b/internal/sidecar/cold_test.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/door"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+)
+
+// coldRate is the rate that testNode's backend server bears while it is cold.
+const coldRate = 43
+
+// testNode returns a node that does not run, at work beside the address.
+func testNode(t *testing.T, address string) *Node {
+	t.Helper()
+	n := New(Settings{Host: "a", Service: "desk", Zone: "north", CallAddress: "127.0.0.1:1", ControlAddress: "127.0.0.1:2", BackendAddress: address, MaxConnections: 1})
+	n.Headers = testHeaders
+	n.build()
+	t.Cleanup(func() { _ = n.metrics.Close() })
+	return n
+}
+
+func coldDocument() *Published {
+	d := testDocument()
+	for i := range d.Services {
+		d.Services[i].ColdPerSecond = coldRate
+	}
+	return &Published{Version: 1, Document: d}
+}
+
+func started(id, address string, born int64, cold time.Duration) fleet.Change {
+	return fleet.Change{Kind: fleet.InstanceSet, Instance: fleet.Instance{
+		ID: id, Service: "desk", Zone: "north", Address: address, Slots: 16, Born: born, ColdFor: cold,
+	}}
+}
+
+// Guards against the late entry of an earlier instance that ends the cold time
+// of the one that has its address now: it then gets full load while cold.
+func TestEarlierInstanceDoesNotEndTheColdTime(t *testing.T) {
+	const address = "127.0.0.1:9"
+	n := testNode(t, address)
+	n.accept(&Update{Whole: true, Published: coldDocument(), Changes: []fleet.Change{started("i-1", address, 1000, 0)}})
+	n.accept(&Update{Changes: []fleet.Change{
+		started("i-2", address, 2000, 3*time.Second),
+		started("i-1", address, 1000, 35*time.Millisecond),
+	}})
+	n.door.Now = func() time.Time { return time.Now().Add(2 * time.Second) }
+	assert.Assert(t, n.door.Cold())
+}
+
+// Guards against a late entry of the same start that shortens a cold time that
+// the server has stated itself since.
+func TestPublishedColdTimeOnlyExtends(t *testing.T) {
+	const address = "127.0.0.1:9"
+	n := testNode(t, address)
+	n.accept(&Update{Whole: true, Published: coldDocument(), Changes: []fleet.Change{started("i-1", address, 1000, 0)}})
+	n.setCold(3*time.Second, n.ownService())
+	n.accept(&Update{Changes: []fleet.Change{started("i-1", address, 1000, 35*time.Millisecond)}})
+	n.door.Now = func() time.Time { return time.Now().Add(2 * time.Second) }
+	assert.Assert(t, n.door.Cold())
+}
+
+// Guards against requests that pass the door of a node which has just started
+// and does not know its server's cold rate.
+func TestDoorStaysShutUntilTheColdRateIsKnown(t *testing.T) {
+	const address = "127.0.0.1:9"
+	n := testNode(t, address)
+	n.accept(&Update{Whole: true, Changes: []fleet.Change{started("i-1", address, 1000, 0)}})
+	n.applyFleet()
+	assert.Equal(t, n.door.Closed(), door.Starting)
+	n.accept(&Update{Published: coldDocument()})
+	assert.Equal(t, n.door.Closed(), door.Reason(""))
+	assert.Assert(t, n.door.Cold())
+	admitted := 0
+	for range 3 * coldRate {
+		p, err := n.door.Enter(t.Context(), door.Call{Deadline: time.Now().Add(time.Second), NoWait: true})
+		if err == nil {
+			admitted++
+			p.Done(true)
+		}
+	}
+	most := int(coldRate * (1 + n.Bounds.ColdOverage))
+	assert.Assert(t, admitted <= most, "%d of at most %d", admitted, most)
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -145,6 +145,8 @@
 	switch {
 	case n.doorClosed.Load():
 		r = door.Leaving
+	case n.snapshot.Load() == nil:
+		r = door.Starting
 	case i != nil && v.ZonesOut[i.Zone]:
 		r = door.ZoneOut
 	case i == nil || !v.Usable(i):
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -209,7 +209,7 @@
 	n.quota = split.New(split.Tolerance{Overage: n.Bounds.QuotaOverage, Slack: n.Bounds.QuotaSlack})
 	n.limits = &accountLimits{split: n.quota, control: n.control, now: time.Now, self: s.ControlAddress}
 	n.door = door.New()
-	n.door.Close(door.Draining)
+	n.door.Close(door.Starting)
 	n.peers = newPeers(&n.Headers, &n.calls, time.Now)
 	lines := &journal{log: n.Log, now: time.Now}
 	n.local = &local{
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -128,6 +128,13 @@
 	return d.isCold(d.Now())
 }
 
+// ColdUntil returns until when the server is taken for cold.
+func (d *Door) ColdUntil() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.coldUntil
+}
+
 // Close refuses new and waiting requests for the reason; the empty reason
 // opens the door. Requests that run are finished.
 func (d *Door) Close(r Reason) {
--- a/pkg/door/refusal.go
+++ b/pkg/door/refusal.go
@@ -19,6 +19,8 @@
 	Draining Reason = "Draining"
 	// ZoneOut: the server's zone is taken out.
 	ZoneOut Reason = "ZoneOut"
+	// Starting: the node does not know yet what the server bears.
+	Starting Reason = "Starting"
 	// Leaving: the node is being stopped.
 	Leaving Reason = "Leaving"
 	// Unreachable: the server does not take connections.
