Do not pass on a request that crosses the close of its idle connection

Change: connections that are closed as idle are marked under the lock that the change to active takes; a request on one ends its handler before it is passed on. A planned stop closes idle connections itself before Shutdown.

Tests: TestCrossingRequestIsNotPassedOn (failed before), TestRequestThatCrossesAnIdleCloseIsKnown, TestSurplusIdleConnectionsAreMarked.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -49,6 +49,8 @@
 	service func() string
 	// closing reports that the node is being stopped.
 	closing func() bool
+	// crossed reports that the request's connection was closed as idle.
+	crossed func(context.Context) bool
 	// crowded reports that callers hold many connections.
 	crowded func() bool
 	observe func(o *Observation)
@@ -94,6 +96,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *callers) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	if s.crossed(in.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	o := Observation{}
 	began := s.now()
 	defer func() {
--- a/internal/sidecar/connections.go
+++ b/internal/sidecar/connections.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -19,7 +20,31 @@
 	mu sync.Mutex
 	// idle holds since when each idle connection is.
 	idle map[net.Conn]time.Time
-	open int
+	// closing holds the connections that were closed while they were idle.
+	closing map[net.Conn]bool
+	open    int
+}
+
+// connectionKey finds the connection of a request in its context.
+type connectionKey struct{}
+
+// withConnection is the hook ConnContext of an http.Server.
+func withConnection(ctx context.Context, n net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, n)
+}
+
+// crossed reports whether a request came on a connection that was closed for
+// being idle just then. net/http takes a connection for idle until it has read
+// the whole header, and goes on with a request that it has read. Nobody would
+// get its answer, so it must not be passed on.
+func (c *connections) crossed(ctx context.Context) bool {
+	n, ok := ctx.Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing[n]
 }
 
 // state is the hook ConnState of an http.Server.
@@ -27,7 +52,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
-		c.idle = map[net.Conn]time.Time{}
+		c.idle, c.closing = map[net.Conn]time.Time{}, map[net.Conn]bool{}
 	}
 	switch s {
 	case http.StateNew:
@@ -38,6 +63,7 @@
 		delete(c.idle, n)
 	case http.StateClosed, http.StateHijacked:
 		delete(c.idle, n)
+		delete(c.closing, n)
 		c.open--
 	}
 }
@@ -50,6 +76,26 @@
 	}
 }
 
+// closeIdle closes all idle connections.
+func (c *connections) closeIdle() {
+	c.mu.Lock()
+	var all []net.Conn
+	for n := range c.idle {
+		all = append(all, n)
+		c.markClosing(n)
+	}
+	c.mu.Unlock()
+	for _, n := range all {
+		_ = n.Close()
+	}
+}
+
+// markClosing takes a connection for closed. The caller holds the mutex.
+func (c *connections) markClosing(n net.Conn) {
+	delete(c.idle, n)
+	c.closing[n] = true
+}
+
 func (c *connections) surplus(limit time.Duration) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -58,7 +104,7 @@
 	for n, since := range c.idle {
 		if limit > 0 && now.Sub(since) > limit {
 			out = append(out, n)
-			delete(c.idle, n)
+			c.markClosing(n)
 		}
 	}
 	for beyond := c.open - len(out) - c.most; beyond > 0 && len(c.idle) > 0; beyond-- {
@@ -69,7 +115,7 @@
 			}
 		}
 		out = append(out, oldest)
-		delete(c.idle, oldest)
+		c.markClosing(oldest)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/sidecar/connections_test.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// idleConnection returns a connection that the listener takes for idle.
+func idleConnection(t *testing.T, c *connections) net.Conn {
+	t.Helper()
+	n, other := net.Pipe()
+	t.Cleanup(func() { _, _ = n.Close(), other.Close() })
+	c.state(n, http.StateNew)
+	c.state(n, http.StateActive)
+	c.state(n, http.StateIdle)
+	return n
+}
+
+// Guards against a request that is passed on although the connection that it
+// came on has just been closed for being idle: its caller gets no answer.
+func TestRequestThatCrossesAnIdleCloseIsKnown(t *testing.T) {
+	now := time.Now()
+	c := &connections{most: 1, now: func() time.Time { return now }}
+	for _, closeOne := range []func(){
+		func() { c.sweep(time.Second) },
+		func() { c.closeIdle() },
+	} {
+		n := idleConnection(t, c)
+		kept := context.Background()
+		crossing := withConnection(kept, n)
+		assert.Assert(t, !c.crossed(crossing))
+		now = now.Add(2 * time.Second)
+		closeOne()
+		c.state(n, http.StateActive)
+		assert.Assert(t, c.crossed(crossing))
+		c.state(n, http.StateClosed)
+		assert.Assert(t, !c.crossed(crossing), "a closed connection is forgotten")
+	}
+	assert.Equal(t, c.open, 0)
+}
+
+// Guards against connections beyond the bound that are closed without being
+// marked, and against a busy one being closed.
+func TestSurplusIdleConnectionsAreMarked(t *testing.T) {
+	now := time.Now()
+	c := &connections{most: 1, now: func() time.Time { return now }}
+	first, busy := idleConnection(t, c), idleConnection(t, c)
+	c.state(busy, http.StateActive)
+	c.sweep(0)
+	assert.Assert(t, c.crossed(withConnection(context.Background(), first)))
+	assert.Assert(t, !c.crossed(withConnection(context.Background(), busy)))
+}
+
+// Guards against a crossing request that reaches a backend server.
+func TestCrossingRequestIsNotPassedOn(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	ask := func(c net.Conn) {
+		r := httptest.NewRequestWithContext(withConnection(t.Context(), c), http.MethodGet, "http://mesh/list/1", nil)
+		r.Header.Set(testHeaders.Key, "secret")
+		n.callers.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	c := idleConnection(t, &n.connections)
+	ask(c)
+	assert.Equal(t, m.runs(), 1)
+	n.connections.closeIdle()
+	assert.Assert(t, cmp.Panics(func() { ask(c) }))
+	assert.Equal(t, m.runs(), 1)
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -64,7 +64,7 @@
 			ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 		}, b}
 	}
-	v.callers.server.ConnState = n.connections.state
+	v.callers.server.ConnState, v.callers.server.ConnContext = n.connections.state, withConnection
 	return v, nil
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -230,7 +230,7 @@
 	n.callers = &callers{
 		names: &n.Headers, dispatch: d, limits: n.limits, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
-		closing: n.stopping.Load, crowded: n.connections.crowded, observe: func(o *Observation) {
+		closing: n.stopping.Load, crossed: n.connections.crossed, crowded: n.connections.crowded, observe: func(o *Observation) {
 			lines.observe(o)
 			n.metrics.Observe(o.Account, o.Route, o.Status, o.Reason, o.Latency)
 		},
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -34,6 +34,8 @@
 	n.doorClosed.Store(true)
 	n.door.Close(door.Leaving)
 	pauseUntil(began.Add(n.StopPlan.Callers))
+	// Shutdown would close them too, and pass on what crosses.
+	n.connections.closeIdle()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.Stop-n.StopPlan.Spare))
 	defer cancel()
 	var w sync.WaitGroup
