Prefer the calls of the same requests at all doors of an overloaded service

Change: among waiting requests of one priority a nested one gets its turn earlier or later by a hash of the request that it comes from. Doors agree on it without a message.

--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -1,5 +1,7 @@
 package sidecar
 
+import "github.com/cespare/xxhash/v2"
+
 // Headers names the headers that callers and backend servers of a deployment
 // use. Each name is in canonical form.
 type Headers struct {
@@ -29,3 +31,14 @@
 	// its health answers.
 	ColdLeft string
 }
+
+// root returns a hash of the ID of the request from which a chain of calls
+// comes, as far as the ID of one of them tells.
+func (h *Headers) root(id string) uint32 {
+	if h.ParentOf != nil {
+		if p := h.ParentOf(id); p != "" {
+			id = p
+		}
+	}
+	return uint32(xxhash.Sum64String(id))
+}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -54,6 +54,8 @@
 	// priority they should have. Where all else is equal they go first:
 	// refusing one wastes what has run.
 	Nested bool
+	// Root tells the requests from which nested ones come apart, by a hash.
+	Root uint32
 }
 
 // A Load describes how busy the server is.
@@ -224,17 +226,17 @@
 	w := &waiter{call: c, seq: d.seq, ready: make(chan struct{})}
 	w.latest = c.Deadline.Add(-d.mean / lateShare)
 	w.hold = c.Deadline.Sub(now) / holdShare
-	if c.Objective.IsZero() {
-		w.due = w.latest
-		return w
-	}
-	w.due = c.Objective.Add(-d.mean - d.spread)
-	if hold := now.Add(w.hold); hold.Before(w.latest) {
-		w.latest = hold
-	}
-	if w.due.After(w.latest) {
-		w.due = w.latest
+	w.due = w.latest
+	if !c.Objective.IsZero() {
+		if hold := now.Add(w.hold); hold.Before(w.latest) {
+			w.latest = hold
+		}
+		w.due = c.Objective.Add(-d.mean - d.spread)
+		if w.due.After(w.latest) {
+			w.due = w.latest
+		}
 	}
+	w.turn = turnOf(c, w.due)
 	return w
 }
 
--- a/pkg/door/door_test.go
+++ b/pkg/door/door_test.go
@@ -279,3 +279,60 @@
 	assert.Equal(t, o.refused, 0)
 	assert.Assert(t, o.met >= o.asked*98/100-10, "%+v", o)
 }
+
+// Guards against an overload in which nearly every running request gets one of
+// the calls that it needs and few get all of them.
+func TestCallsOfOneRequestAreServedTogether(t *testing.T) {
+	b := newBench()
+	const slots, work = 8, 100 * time.Millisecond
+	b.door.SetSlots(slots)
+	r := rand.New(rand.NewPCG(5, 6))
+	served := map[uint32]int{}
+	asked := 0
+	offer := func(root uint32) {
+		c := b.call(150*time.Millisecond, 400*time.Millisecond)
+		c.Nested, c.Root = true, root
+		w, p, err := b.door.offer(c)
+		if err != nil {
+			return
+		}
+		done := func(p *Pass) {
+			served[root]++
+			b.door.After(work, func() { p.Done(true) })
+		}
+		if p != nil {
+			done(p)
+			return
+		}
+		var poll func()
+		poll = func() {
+			switch {
+			case w.pass != nil:
+				done(w.pass)
+			case w.refusal == nil && !b.now.Before(w.latest):
+				b.door.cancel(w, Late)
+			case w.refusal == nil:
+				b.door.After(time.Millisecond, poll)
+			}
+		}
+		poll()
+	}
+	const seconds, rate = 20, 120 // requests a second with two calls each, three times what the door bears
+	for range seconds * 1000 {
+		if r.Float64() < rate/1000.0 {
+			asked++
+			root := r.Uint32()
+			offer(root)
+			b.door.After(time.Duration(r.IntN(20))*time.Millisecond, func() { offer(root) })
+		}
+		b.advance(time.Millisecond)
+	}
+	whole := 0
+	for _, n := range served {
+		if n == 2 {
+			whole++
+		}
+	}
+	able := seconds * slots * int(time.Second/work) / 2
+	assert.Assert(t, whole >= able*6/10, "%d of %d whole, able to serve %d", whole, asked, able)
+}
--- a/pkg/door/queue.go
+++ b/pkg/door/queue.go
@@ -1,6 +1,9 @@
 package door
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // A waiter is a request that waits for its turn.
 type waiter struct {
@@ -12,6 +15,8 @@
 	// once that has passed.
 	due     time.Time
 	overdue bool
+	// turn orders waiting requests that are alike otherwise, see turnOf.
+	turn time.Time
 	// hold is for how long it waits beyond its objective.
 	hold time.Duration
 	// index is the place in the heap.
@@ -27,16 +32,32 @@
 	close(w.ready)
 }
 
+// rootSpread is the span over which the turns of nested requests are moved. It
+// exceeds the time to the objective of such requests in both deployments.
+const rootSpread = 300 * time.Millisecond
+
+// turnOf returns when a request would get its turn: when it is due, and for a
+// nested one earlier or later by its root. A running request mostly needs all
+// calls that it makes. Where many are refused, those that are served must
+// belong to few roots: all doors of a fleet prefer the same ones.
+func turnOf(c Call, due time.Time) time.Time {
+	if !c.Nested {
+		return due
+	}
+	part := float64(c.Root) / math.MaxUint32
+	return due.Add(time.Duration((part - 0.5) * float64(rootSpread)))
+}
+
 // before orders waiting requests: those that can still meet their objective,
-// priority, the nearest objective, those that running requests need, arrival.
+// priority, the nearest turn, those that running requests need, arrival.
 func (w *waiter) before(o *waiter) bool {
 	switch {
 	case w.overdue != o.overdue:
 		return o.overdue
 	case w.call.Priority != o.call.Priority:
 		return w.call.Priority < o.call.Priority
-	case !w.due.Equal(o.due):
-		return w.due.Before(o.due)
+	case !w.turn.Equal(o.turn):
+		return w.turn.Before(o.turn)
 	case w.call.Nested != o.call.Nested:
 		return w.call.Nested
 	}
