Wait in the own zone while that costs less than to cross

Change: where the own zone's door foresees a shorter wait than the cost of crossing, in usual running times, the request is queued there first.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -116,6 +116,9 @@
 func (t *trial) pick() (to balance.Target, wait, ok bool) {
 	if len(t.full) < doorsAsked {
 		to, full, ok := t.d.chooser.PickNear(t.service, t.tried, t.crossing)
+		if near := t.shortest(t.inZone); ok && near >= 0 && !t.inZone(&to) && t.worthWaiting(near) {
+			return t.queue(near), true, true
+		}
 		if ok && (!full || t.queued < queuesAsked) {
 			if full {
 				t.queued++
@@ -126,16 +129,37 @@
 	if len(t.full) == 0 || t.queued >= queuesAsked {
 		return to, false, false
 	}
-	t.queued++
-	best := 0
+	return t.queue(t.shortest(func(*balance.Target) bool { return true })), true, true
+}
+
+// inZone reports whether a host is in the zone of this node.
+func (t *trial) inZone(to *balance.Target) bool { return to.Zone == t.d.chooser.Zone }
+
+// worthWaiting reports whether the wait at a full door of the own zone costs
+// less than to have the request answered from another zone.
+func (t *trial) worthWaiting(full int) bool {
+	usual := t.d.chooser.Usual(t.service)
+	return t.queued < queuesAsked && t.full[full].wait.Seconds() < t.crossing*usual.Seconds()
+}
+
+// shortest returns the index of the full door with the shortest wait among
+// those that fit, below zero if there is none.
+func (t *trial) shortest(fits func(*balance.Target) bool) int {
+	best := -1
 	for i := range t.full {
-		if t.full[i].wait < t.full[best].wait {
+		if fits(&t.full[i].to) && (best < 0 || t.full[i].wait < t.full[best].wait) {
 			best = i
 		}
 	}
-	to = t.full[best].to
-	t.full = slices.Delete(t.full, best, best+1)
-	return to, true, true
+	return best
+}
+
+// queue takes a full door that is asked for a place in its queue.
+func (t *trial) queue(full int) balance.Target {
+	t.queued++
+	to := t.full[full].to
+	t.full = slices.Delete(t.full, full, full+1)
+	return to
 }
 
 // next sends the request to one more host.
--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -317,6 +317,14 @@
 	return ageFactor * now.Sub(p.begun)
 }
 
+// Usual returns the usual latency of a service's hosts, zero if none has
+// answered.
+func (c *Chooser) Usual(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return usualLatency(c.services[service])
+}
+
 // usualLatency returns the lower median latency of the hosts that have answered.
 // A mean would take the slow ones for usual where many are slow.
 func usualLatency(all []*peer) time.Duration {
