Spread the requests of a cold server over its second

Change: each quarter of a second gets its share of the cold rate. Test: TestColdServerGetsItsRequestsEvenly, failed before.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -17,6 +17,10 @@
 const (
 	// coldWindow is the time over which a cold server's requests are counted.
 	coldWindow = time.Second
+	// coldParts is the number of parts of that time of which each gets its share
+	// of the requests. All at its start would leave the urgent ones that come
+	// later to wait for the next second.
+	coldParts = 4
 	// firstEstimate is the assumed time a request runs before any was seen.
 	firstEstimate = 100 * time.Millisecond
 	// estimateWeight is the weight of a new duration in the moving average.
@@ -332,10 +336,8 @@
 		return
 	}
 	at := d.coldUntil
-	if n := d.coldLimit(); len(d.starts) >= n {
-		if t := d.starts[len(d.starts)-n].Add(coldWindow); t.Before(at) {
-			at = t
-		}
+	if t := d.nextCold(); t.Before(at) {
+		at = t
 	}
 	d.stop = d.After(max(time.Millisecond, at.Sub(now)), func() {
 		d.mu.Lock()
@@ -351,6 +353,27 @@
 
 func (d *Door) coldLimit() int { return max(1, int(math.Floor(d.coldRate))) }
 
+// nextCold returns the earliest time at which a cold server may get one more
+// request.
+func (d *Door) nextCold() time.Time {
+	most := d.coldLimit()
+	next := d.startBefore(most).Add(coldWindow)
+	part := (most + coldParts - 1) / coldParts
+	if t := d.startBefore(part).Add(coldWindow / coldParts); t.After(next) {
+		next = t
+	}
+	return next
+}
+
+// startBefore returns the time of the n-th last start, zero if there were fewer
+// in the last coldWindow.
+func (d *Door) startBefore(n int) time.Time {
+	if len(d.starts) < n {
+		return time.Time{}
+	}
+	return d.starts[len(d.starts)-n]
+}
+
 // permits is the number of requests that may run at once. A cold server's is
 // the number that its rate sustains.
 func (d *Door) permits(now time.Time) int {
@@ -369,7 +392,7 @@
 		return true
 	}
 	d.forget(now)
-	return !d.isCold(now) || len(d.starts) < d.coldLimit()
+	return !d.isCold(now) || !now.Before(d.nextCold())
 }
 
 // forget drops the starts that are older than the window.
--- a/pkg/door/door_test.go
+++ b/pkg/door/door_test.go
@@ -336,3 +336,44 @@
 	able := seconds * slots * int(time.Second/work) / 2
 	assert.Assert(t, whole >= able*6/10, "%d of %d whole, able to serve %d", whole, asked, able)
 }
+
+// Guards against a cold server whose requests of a second all start at its
+// beginning: an urgent one that comes later then waits for the next second.
+func TestColdServerGetsItsRequestsEvenly(t *testing.T) {
+	b := newBench()
+	b.door.SetSlots(16)
+	b.door.SetCold(b.now.Add(10*time.Second), 30)
+	for range 200 {
+		c := b.call(20*time.Second, 60*time.Second)
+		c.Priority = 2
+		w, p, err := b.door.offer(c)
+		assert.NilError(t, err)
+		if p != nil {
+			p.Done(true)
+			continue
+		}
+		done := func() {}
+		done = func() {
+			if w.pass != nil {
+				w.pass.Done(true)
+				return
+			}
+			b.door.After(time.Millisecond, done)
+		}
+		done()
+	}
+	b.advance(500 * time.Millisecond)
+	c := b.call(400*time.Millisecond, 2*time.Second)
+	urgent, _, err := b.door.offer(c)
+	assert.NilError(t, err)
+	b.advance(time.Second / 4)
+	assert.Assert(t, urgent.pass != nil, "the urgent request waits")
+	urgent.pass.Done(true)
+	count := 0
+	for _, s := range b.door.starts {
+		if b.now.Sub(s) < time.Second {
+			count++
+		}
+	}
+	assert.Assert(t, count > 20 && count <= 30, "%d in the last second", count)
+}
