--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -21,8 +21,9 @@
 	// healthTimeout bounds one question. Under load it waits for a slot.
 	healthTimeout = 900 * time.Millisecond
 	// usedColdOverage is the part of the tolerated overage of a cold server
-	// that its door uses.
-	usedColdOverage = 0.6
+	// that its door uses. The rest, and the deployment's slack, cover questions
+	// for its health and seconds that begin at other times than the server's.
+	usedColdOverage = 0.9
 	// coldUnknown is how long a server is taken for cold while it has not said
 	// how long it stays so.
 	coldUnknown = 3 * time.Second
