Have the doors of slow servers leave requests to quicker ones

Change: a door knows how long its server takes. One that takes longer than a request has until its objective refuses it as Slow, unless it may wait there or the server is idle; the caller's node takes the time for an observation and asks the next door, and this one for a place last. Test: TestSlowServerLeavesRequestsToQuickerOnes.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -81,7 +81,7 @@
 	// one has run it and answered with a failure.
 	unknown *call.Unknown
 	failed  *http.Response
-	// full holds the doors that had no free slot.
+	// full holds the doors that had no free slot, or a slow server.
 	full []fullDoor
 	// queued counts the doors that were asked for a place in their queue.
 	queued int
@@ -89,7 +89,8 @@
 	last *door.Refusal
 }
 
-// A fullDoor is a door without a free slot and the wait that it foresees.
+// A fullDoor is a door without a free slot, or of a slow server, and the wait
+// that it foresees.
 type fullDoor struct {
 	to   balance.Target
 	wait time.Duration
@@ -186,17 +187,21 @@
 	d.chooser.Finished(to.ID, t.result(ctx, err), l)
 	t.observe(ctx, to, a, err, wait, d.now().Sub(began))
 	var f *door.Refusal
-	if errors.As(err, &f) && f.Reason == door.Full {
+	if errors.As(err, &f) && (f.Reason == door.Full || f.Reason == door.Slow) {
 		t.full = append(t.full, fullDoor{to, f.After})
 	}
 	return a, err
 }
 
 // observe learns from the time and size of an answer. A wait in the queue says
-// nothing about the instance; no answer in time says that it is slow.
+// nothing about the instance; no answer in time says that it is slow, and its
+// door says how slow.
 func (t *trial) observe(ctx context.Context, to balance.Target, a *http.Response, err error, waited bool, took time.Duration) {
 	var u *call.Unknown
+	var f *door.Refusal
 	switch {
+	case errors.As(err, &f) && f.Reason == door.Slow:
+		t.d.chooser.Observed(to.ID, f.After)
 	case err == nil && a.StatusCode < http.StatusInternalServerError && !waited,
 		errors.As(err, &u) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		t.d.chooser.Observed(to.ID, took)
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -203,6 +203,9 @@
 		return nil, nil, &Refusal{Reason: d.closed}
 	}
 	if len(d.waiting) == 0 && d.free(now) {
+		if c.NoWait && d.tooSlow(c, now) {
+			return nil, nil, &Refusal{Reason: Slow, After: d.mean}
+		}
 		return nil, d.start(now), nil
 	}
 	d.seq++
@@ -244,6 +247,13 @@
 	return w
 }
 
+// tooSlow reports whether the server has lately taken longer than the request
+// has until its objective. One request at a time finds out whether it still
+// does.
+func (d *Door) tooSlow(c Call, now time.Time) bool {
+	return d.running > 0 && c.Objective.After(now) && now.Add(d.mean).After(c.Objective)
+}
+
 // lucky reports whether requests beyond their objective are served lately.
 func (d *Door) lucky(now time.Time) bool {
 	return d.luck >= leastLuck || now.Sub(d.luckAt) > luckReturns
--- a/pkg/door/door_test.go
+++ b/pkg/door/door_test.go
@@ -377,3 +377,47 @@
 	}
 	assert.Assert(t, count > 20 && count <= 30, "%d in the last second", count)
 }
+
+// Guards against requests that a server which has turned slow takes from quicker
+// ones, against such a server that is never tried again, and against a refusal
+// where no other server has room.
+func TestSlowServerLeavesRequestsToQuickerOnes(t *testing.T) {
+	b := newBench()
+	b.door.SetSlots(10)
+	run := func(took time.Duration) {
+		_, p, err := b.door.offer(b.call(400*time.Millisecond, 2*time.Second))
+		assert.NilError(t, err)
+		b.advance(took)
+		p.Done(true)
+	}
+	for range 30 {
+		run(time.Second)
+	}
+	ask := func(noWait bool, objective time.Duration) (*Pass, error) {
+		c := b.call(objective, 2*time.Second)
+		c.NoWait = noWait
+		_, p, err := b.door.offer(c)
+		return p, err
+	}
+	first, err := ask(true, 400*time.Millisecond)
+	assert.NilError(t, err, "an idle server is tried")
+	_, err = ask(true, 400*time.Millisecond)
+	assert.Error(t, err, "not run: Slow")
+	for _, c := range []struct {
+		noWait    bool
+		objective time.Duration
+	}{{false, 400 * time.Millisecond}, {true, 1500 * time.Millisecond}, {true, -time.Millisecond}} {
+		p, err := ask(c.noWait, c.objective)
+		assert.NilError(t, err)
+		p.Done(false)
+	}
+	first.Done(true)
+	for range 60 {
+		run(50 * time.Millisecond)
+	}
+	first, err = ask(true, 400*time.Millisecond)
+	assert.NilError(t, err)
+	_, err = ask(true, 400*time.Millisecond)
+	assert.NilError(t, err, "a server that is quick again")
+	first.Done(true)
+}
--- a/pkg/door/refusal.go
+++ b/pkg/door/refusal.go
@@ -9,6 +9,9 @@
 const (
 	// Full: the server has no room and the request may not wait.
 	Full Reason = "Full"
+	// Slow: the server would not answer within the objective, and the request
+	// may not wait. Another one may be quicker.
+	Slow Reason = "Slow"
 	// Overloaded: the request would get its turn too late.
 	Overloaded Reason = "Overloaded"
 	// Late: the deadline came too close while the request waited.
