Compare a slow server's extra time with the waits at full doors

Change: a request that may not wait names the usual time of the other servers, and the door answers with how much longer it takes, which is compared with the waits that full doors foresee.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -176,6 +176,9 @@
 		Instance: to.ID, Deadline: j.deadline, Objective: j.objective, Priority: j.priority, Nested: j.nested,
 		Repeatable: j.repeatable, NoWait: !wait,
 	}
+	if r.NoWait {
+		r.Usual = d.chooser.Usual(t.service)
+	}
 	t.tried = append(t.tried, to.ID)
 	j.hosts = append(j.hosts, to.ID)
 	d.chooser.Started(to.ID)
@@ -201,7 +204,7 @@
 	var f *door.Refusal
 	switch {
 	case errors.As(err, &f) && f.Reason == door.Slow:
-		t.d.chooser.Observed(to.ID, f.After)
+		t.d.chooser.Observed(to.ID, f.After+t.d.chooser.Usual(t.service))
 	case err == nil && a.StatusCode < http.StatusInternalServerError && !waited,
 		errors.As(err, &u) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		t.d.chooser.Observed(to.ID, took)
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -46,7 +46,7 @@
 		return nil, &door.Refusal{Reason: door.Draining}
 	}
 	p, err := l.door.Enter(ctx, door.Call{
-		Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, NoWait: r.NoWait, Nested: r.Nested,
+		Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, NoWait: r.NoWait, Usual: r.Usual, Nested: r.Nested,
 		Root: l.names.root(r.Header.Get(l.names.RequestID)),
 	})
 	if err != nil {
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -30,6 +30,9 @@
 	Priority int
 	// NoWait asks for a refusal in place of a place in the queue.
 	NoWait bool
+	// Usual is how long requests take at the service's other instances, zero if
+	// that is not known. It goes with NoWait.
+	Usual time.Duration
 	// Nested: the request was made by a backend server for one that it runs.
 	Nested bool
 	// Repeatable requests may run more than once.
@@ -39,7 +42,9 @@
 // The headers between nodes, besides those of package call.
 const (
 	headerPriority = call.HeaderPrefix + "Priority"
-	headerNoWait   = call.HeaderPrefix + "No-Wait"
+	// headerNoWait is set for requests that may not wait, to the milliseconds
+	// that requests usually take at other instances, zero if unknown.
+	headerNoWait = call.HeaderPrefix + "No-Wait"
 	// headerObjective is the milliseconds to the objective, negative once it
 	// has passed.
 	headerObjective = call.HeaderPrefix + "Objective-Ms"
@@ -117,10 +122,13 @@
 	if !r.Objective.IsZero() {
 		h[headerObjective] = []string{strconv.FormatInt(r.Objective.Sub(now).Milliseconds(), 10)}
 	}
+	if r.NoWait {
+		h[headerNoWait] = []string{milliseconds(r.Usual)}
+	}
 	for _, f := range []struct {
 		name string
 		set  bool
-	}{{headerNoWait, r.NoWait}, {headerNested, r.Nested}, {headerRepeat, r.Repeatable}} {
+	}{{headerNested, r.Nested}, {headerRepeat, r.Repeatable}} {
 		if f.set {
 			h[f.name] = []string{headerSet}
 		}
@@ -141,10 +149,17 @@
 	r := &Request{
 		In: in, Body: in.Body, Length: in.ContentLength,
 		Instance: in.Header.Get(names.Expected), Priority: priority,
-		Deadline: now.Add(time.Duration(left) * time.Millisecond),
-		NoWait:   in.Header.Get(headerNoWait) != "", Nested: in.Header.Get(headerNested) != "",
+		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
+		Nested:     in.Header.Get(headerNested) != "",
 		Repeatable: in.Header.Get(headerRepeat) != "",
 	}
+	if v := in.Header.Get(headerNoWait); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 32)
+		if err != nil || ms < 0 {
+			return nil, &call.NotRun{Reason: "BadHeader"}
+		}
+		r.NoWait, r.Usual = true, time.Duration(ms)*time.Millisecond
+	}
 	if v := in.Header.Get(headerObjective); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 32)
 		if err != nil {
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -54,6 +54,9 @@
 	Deadline time.Time
 	// NoWait refuses the request if it cannot run at once.
 	NoWait bool
+	// Usual is how long requests take at the other servers of the service, zero
+	// if that is not known.
+	Usual time.Duration
 	// Nested requests belong to a request that already runs elsewhere, whose
 	// priority they should have. Where all else is equal they go first:
 	// refusing one wastes what has run.
@@ -204,7 +207,7 @@
 	}
 	if len(d.waiting) == 0 && d.free(now) {
 		if c.NoWait && d.tooSlow(c, now) {
-			return nil, nil, &Refusal{Reason: Slow, After: d.mean}
+			return nil, nil, &Refusal{Reason: Slow, After: max(0, d.mean-c.Usual)}
 		}
 		return nil, d.start(now), nil
 	}
--- a/pkg/door/door_test.go
+++ b/pkg/door/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -393,16 +394,19 @@
 	for range 30 {
 		run(time.Second)
 	}
+	const usual = 100 * time.Millisecond
 	ask := func(noWait bool, objective time.Duration) (*Pass, error) {
 		c := b.call(objective, 2*time.Second)
-		c.NoWait = noWait
+		c.NoWait, c.Usual = noWait, usual
 		_, p, err := b.door.offer(c)
 		return p, err
 	}
 	first, err := ask(true, 400*time.Millisecond)
 	assert.NilError(t, err, "an idle server is tried")
 	_, err = ask(true, 400*time.Millisecond)
-	assert.Error(t, err, "not run: Slow")
+	var slow *Refusal
+	assert.Assert(t, errors.As(err, &slow) && slow.Reason == Slow, "%v", err)
+	assert.Assert(t, slow.After > 500*time.Millisecond && slow.After < time.Second-usual/2, "%s more than usual", slow.After)
 	for _, c := range []struct {
 		noWait    bool
 		objective time.Duration
