Put requests that only the tolerance admits behind all others

Cause: an account far over its rate is admitted up to its limit and 0.8 of the tolerated overage, so that spread between nodes refuses nobody wrongly.

Change: each node also counts its part of the limit proper; what lies beyond it ranks behind every account and route, and so do the calls made for it.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -241,10 +241,8 @@
 
 // serve has an accepted request run. Its errors are those that reject takes.
 func (s *callers) serve(ctx context.Context, j *job) (*http.Response, error) {
-	if j.account != "" {
-		if ok, after := s.limits.take(ctx, j.account); !ok {
-			return nil, &rejection{http.StatusTooManyRequests, "RateExceeded", "", after}
-		}
+	if err := s.charge(ctx, j); err != nil {
+		return nil, err
 	}
 	body, err := call.NewReplay(j.in)
 	if err == nil {
@@ -261,6 +259,24 @@
 	return nil, err
 }
 
+// beyondRank is added to the rank of requests that only the tolerance of their
+// account's limit admits. It exceeds the ranks of all accounts and routes.
+const beyondRank = 1 << 20
+
+// charge takes a request from its account's limit.
+func (s *callers) charge(ctx context.Context, j *job) error {
+	if j.account == "" {
+		return nil
+	}
+	if ok, after := s.limits.take(ctx, j.account); !ok {
+		return &rejection{http.StatusTooManyRequests, "RateExceeded", "", after}
+	}
+	if s.limits.split.Beyond(j.account) {
+		j.priority += beyondRank
+	}
+	return nil
+}
+
 // reject gives the node's own answer to a request.
 func (s *callers) reject(w http.ResponseWriter, in *http.Request, err error, o *Observation) {
 	r := rejectionOf(err)
--- a/pkg/split/split.go
+++ b/pkg/split/split.go
@@ -56,6 +56,9 @@
 	mu      sync.Mutex
 	limits  map[string]Limit
 	buckets map[string]*Bucket
+	// proper holds this node's part of the limits without the tolerance, for
+	// accounts without a pool.
+	proper map[string]*Bucket
 	// pools holds the pooled part of each account, which counts only at the
 	// account's deciding node; loans what this node borrowed.
 	pools map[string]*Bucket
@@ -85,7 +88,7 @@
 
 // New returns a split over one node without limits.
 func New(t Tolerance) *Split {
-	return &Split{Now: time.Now, Tolerance: t, buckets: map[string]*Bucket{}, pools: map[string]*Bucket{}, nodes: 1}
+	return &Split{Now: time.Now, Tolerance: t, buckets: map[string]*Bucket{}, proper: map[string]*Bucket{}, pools: map[string]*Bucket{}, nodes: 1}
 }
 
 // Configure replaces the limits of all accounts.
@@ -121,7 +124,7 @@
 
 // divide makes the buckets fit the limits and the number of nodes.
 func (s *Split) divide(now time.Time) {
-	for _, all := range []map[string]*Bucket{s.buckets, s.pools} {
+	for _, all := range []map[string]*Bucket{s.buckets, s.proper, s.pools} {
 		for name := range all {
 			if s.limits[name].Rate <= 0 {
 				delete(all, name)
@@ -146,6 +149,11 @@
 		}
 		resize(s.buckets, name, part*rate, max(least, part*capacity), now)
 		resize(s.pools, name, pool*rate, pool*capacity, now)
+		if pool > 0 {
+			delete(s.proper, name)
+		} else {
+			resize(s.proper, name, part*l.Rate, max(1, part*l.Burst), now)
+		}
 	}
 }
 
@@ -195,6 +203,25 @@
 	return false, min(b.nextToken(), longestAfter)
 }
 
+// Beyond charges a request that Take has admitted to the account's limit proper
+// and reports whether it lies beyond this node's part of it, so that only the
+// tolerance admitted it. Requests spread unevenly over the nodes may: it is a
+// reason to let others go first, not to refuse.
+func (s *Split) Beyond(account string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.proper[account]
+	if b == nil {
+		return false
+	}
+	b.fill(s.Now())
+	if b.Tokens < 1 {
+		return true
+	}
+	b.Tokens--
+	return false
+}
+
 // GiveBack returns the token of a request that was refused and has not run.
 func (s *Split) GiveBack(account string) {
 	s.mu.Lock()
--- a/pkg/split/split_test.go
+++ b/pkg/split/split_test.go
@@ -204,3 +204,37 @@
 	ok, _ := s.Take("club")
 	assert.Assert(t, ok)
 }
+
+// Guards against an account far over its rate whose requests go before those of
+// others on the strength of the tolerance, and against accounts within their
+// rate that are put behind others.
+func TestBeyondMarksOnlyWhatTheToleranceAdmits(t *testing.T) {
+	const nodes, rate = 10, 200.0
+	for _, c := range []struct {
+		name        string
+		asked       float64
+		least, most float64
+	}{{"within", 0.6 * rate, 0, 0.02}, {"far over", 5 * rate, 0.1, 0.2}} {
+		now := time.Unix(1000, 0)
+		s := split.New(split.Tolerance{Overage: 0.25, Slack: 20})
+		s.Now = func() time.Time { return now }
+		s.SetNodes(nodes)
+		s.Configure(map[string]split.Limit{"club": {Rate: rate, Burst: 40}})
+		r := rand.New(rand.NewPCG(7, 8))
+		admitted, beyond := 0, 0
+		for range 20000 {
+			now = now.Add(time.Millisecond)
+			if r.Float64() >= c.asked/nodes/1000 {
+				continue
+			}
+			if ok, _ := s.Take("club"); ok {
+				admitted++
+				if s.Beyond("club") {
+					beyond++
+				}
+			}
+		}
+		part := float64(beyond) / float64(admitted)
+		assert.Assert(t, part >= c.least && part <= c.most, "%s: %d of %d", c.name, beyond, admitted)
+	}
+}
