Read changes in quick succession together; pass on no lapsed entries

Change: while each read brings changes the pause doubles from 0.1 s to 0.4 s, and the watch after it is shorter by as much. Besides, a node passed on the entries that it keeps for a while after an outage; one that read everything from it never learned of their end. Seen once as TestOutageOfTheStore 'no end of the lapsed entry', on the code before.

Tests: TestChangesInQuickSuccessionAreReadTogether and TestPauseBetweenReadsDoesNotLookLikeAnOutage failed before, TestLapsedInstancesAreNotPassedOn.

--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -32,9 +33,11 @@
 	mu       sync.Mutex
 	revision uint64
 	log      []Update
-	entries  map[string]fleet.Change
-	config   *Published
-	changed  chan struct{}
+	// watches counts the reads of each node that wait for changes.
+	watches map[string]int
+	entries map[string]fleet.Change
+	config  *Published
+	changed chan struct{}
 	// fail, if set, is what every read returns, or every read of the nodes in
 	// failFor if that is not empty.
 	fail    error
@@ -42,7 +45,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{entries: map[string]fleet.Change{}, changed: make(chan struct{})}
+	return &memoryStore{entries: map[string]fleet.Change{}, watches: map[string]int{}, changed: make(chan struct{})}
 }
 
 func (s *memoryStore) publish(p *Published, changes ...fleet.Change) {
@@ -80,6 +83,13 @@
 	s.changed = make(chan struct{})
 }
 
+// reads returns how often each node has waited for changes.
+func (s *memoryStore) reads() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.watches)
+}
+
 // source is the store as one node reads it.
 func (s *memoryStore) source(node string) Source {
 	return Source{
@@ -115,6 +125,9 @@
 func (s *memoryStore) watch(ctx context.Context, node string, after uint64, wait time.Duration) (*Update, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
+	s.mu.Lock()
+	s.watches[node]++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed, fail := s.changed, s.failure(node)
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -112,14 +112,14 @@
 func (n *Node) everything(out peer.UpdatesReply) (peer.UpdatesReply, error) {
 	n.acceptMu.Lock()
 	u := &Update{Published: n.published}
-	v := n.directory.View()
+	instances, v := n.directory.Published(), n.directory.View()
 	n.acceptMu.Unlock()
-	for _, i := range v.Instances {
+	for _, i := range instances {
 		if n.asking.Load() && i.Address == n.settings().BackendAddress {
 			// Held back here only, see holdOwn.
 			continue
 		}
-		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: *i})
+		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: i})
 	}
 	for zone := range v.ZonesOut {
 		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.ZoneOut, Zone: zone})
--- a/internal/sidecar/relay_test.go
+++ b/internal/sidecar/relay_test.go
@@ -54,3 +54,22 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !r.Whole && len(r.Bodies) == 1, "%+v", r)
 }
+
+// Guards against an entry that lapsed in an outage and lives on at a node which
+// read everything from one that still keeps it.
+func TestLapsedInstancesAreNotPassedOn(t *testing.T) {
+	n := testNode(t, "127.0.0.1:9")
+	n.directory.LeastOutage = 100 * time.Millisecond
+	now := time.Now()
+	n.accept(&Update{Whole: true, Revision: 1, Confirmed: now, Published: coldDocument(), Changes: []fleet.Change{
+		started("i-1", "127.0.0.1:9", 1000, 0), started("i-2", "127.0.0.1:10", 1000, 0),
+	}})
+	n.accept(&Update{Revision: 2, Confirmed: now.Add(time.Second), Changes: []fleet.Change{{Kind: fleet.InstanceGone, ID: "i-2"}}})
+	assert.Assert(t, n.directory.View().Instances["i-2"] != nil, "kept after an outage")
+	r, err := n.serveUpdates(t.Context(), peer.UpdatesRequest{Whole: true})
+	assert.NilError(t, err)
+	u, err := joinUpdates(r, time.Now())
+	assert.NilError(t, err)
+	assert.Equal(t, len(u.Changes), 1)
+	assert.Equal(t, u.Changes[0].Instance.ID, "i-1")
+}
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -63,9 +63,12 @@
 	unreadWarning = time.Second
 	// retryMost bounds the pause where no source answers.
 	retryMost = 500 * time.Millisecond
-	// gatherFor is the pause between a change and the next watch. What is
-	// published meanwhile comes with one read.
-	gatherFor = 100 * time.Millisecond
+	// gatherFirst is the pause between a change and the next watch. What is
+	// published meanwhile comes with one read. While each read brings changes it
+	// doubles up to gatherMost, a fifth of the time in which a configuration must
+	// be in force and a leaving instance gets nothing new.
+	gatherFirst = 100 * time.Millisecond
+	gatherMost  = 400 * time.Millisecond
 )
 
 // follow keeps the node up to date until ctx ends, from whatever source its
@@ -73,12 +76,17 @@
 func (n *Node) follow(ctx context.Context) {
 	var revision uint64
 	known := false
+	// Where the whole fleet starts, instances register one after the other.
+	gather, gathered := gatherMost, time.Duration(0)
 	for ctx.Err() == nil {
 		from, wait := n.nextSource()
 		if wait > 0 && !sleep(ctx, min(wait, retryMost)) {
 			return
 		}
-		u, err := n.read(ctx, from, revision, known)
+		// With the pause before it a watch must not exceed watchWait: others take
+		// what this node knows for stale after that.
+		u, err := n.read(ctx, from, revision, known, watchWait-gathered)
+		gathered = 0
 		if err == nil && u.Whole && u.Revision < revision {
 			err = ErrStale.New("everything as of revision %d after %d", u.Revision, revision)
 		}
@@ -90,9 +98,12 @@
 			}
 			n.accept(u)
 			revision, known = max(revision, u.Revision), true
-			if from == relay.Store && (len(u.Changes) > 0 || u.Published != nil) {
-				sleep(ctx, gatherFor)
+			if from != relay.Store || (len(u.Changes) == 0 && u.Published == nil) {
+				gather = gatherFirst
+				continue
 			}
+			sleep(ctx, gather)
+			gather, gathered = min(2*gather, gatherMost), gather
 		case errorx.IsOfType(err, ErrCompacted):
 			n.Log.Info("history is gone", "source", from, "after", revision)
 			known = false
@@ -102,8 +113,9 @@
 	}
 }
 
-// read asks a source for everything, or for what came after a revision.
-func (n *Node) read(ctx context.Context, from string, after uint64, known bool) (*Update, error) {
+// read asks a source for everything, or for what came after a revision, at the
+// latest after wait.
+func (n *Node) read(ctx context.Context, from string, after uint64, known bool, wait time.Duration) (*Update, error) {
 	s := n.Source
 	if from != relay.Store {
 		s = n.fromNode(from)
@@ -112,9 +124,9 @@
 	var u *Update
 	var err error
 	if known {
-		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		c, cancel := context.WithTimeout(ctx, wait+watchSlack)
 		defer cancel()
-		u, err = s.Watch(c, after, watchWait)
+		u, err = s.Watch(c, after, wait)
 	} else {
 		c, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
--- /dev/null
+++ b/internal/sidecar/source_test.go
@@ -0,0 +1,50 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+)
+
+// Guards against a read of the store for nearly every change where many come
+// one after the other, and against the last of them being held back.
+func TestChangesInQuickSuccessionAreReadTogether(t *testing.T) {
+	m := newMesh(t, 1)
+	const length, pause = 2 * time.Second, 20 * time.Millisecond
+	before := m.store.reads()["i-0"]
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		m.store.publish(nil, fleet.Change{Kind: fleet.ZoneOut, Zone: "ate"})
+		sleep(t.Context(), pause)
+	}
+	m.store.publish(nil, fleet.Change{Kind: fleet.ZoneOut, Zone: "callao"})
+	published := time.Now()
+	waitFor(t, "the last change", func() bool { return m.nodes[0].directory.View().ZonesOut["callao"] })
+	assert.Assert(t, time.Since(published) < 2*gatherMost, "%s", time.Since(published))
+	watches := m.store.reads()["i-0"] - before
+	most := int(length/gatherMost) + 5
+	assert.Assert(t, watches <= most, "%d reads, at most %d", watches, most)
+}
+
+// Guards against a node that is taken for cut off from the store by those that
+// read it, since it pauses between two reads: all of them then read the store.
+func TestPauseBetweenReadsDoesNotLookLikeAnOutage(t *testing.T) {
+	m := newMesh(t, 2)
+	sleep(t.Context(), 2*watchWait)
+	before := m.store.reads()
+	for range 30 {
+		m.store.publish(nil, fleet.Change{Kind: fleet.ZoneOut, Zone: "ate"})
+		sleep(t.Context(), 50*time.Millisecond)
+	}
+	sleep(t.Context(), 2*watchWait)
+	after := m.store.reads()
+	readers := 0
+	for node := range after {
+		if after[node] > before[node] {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 1, "%v, then %v", before, after)
+}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// Published returns the instances whose entries are published, in no order.
+// Those that are only kept for a while after an outage are left out: who else
+// learned of them would not learn of their end.
+func (d *Directory) Published() []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Instance, 0, len(d.instances))
+	for id, i := range d.instances {
+		if _, lapsed := d.lapsed[id]; !lapsed {
+			all = append(all, *i)
+		}
+	}
+	return all
+}
+
 // Tick removes lapsed instances whose time is over.
 func (d *Directory) Tick() {
 	d.mu.Lock()
