Give back the token of the limit proper as well

Cause: read in review. A request that was refused and has not run gave its token back to the node's part of the limit, but not to the part without the tolerance, so an account within its rate went behind others once many of its requests had been refused for lack of room.

Test: TestRefusedRequestsDoNotCountAsBeyond.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -146,6 +146,8 @@
 	// objective is zero for routes without one.
 	objective time.Time
 	priority  int
+	// beyond: only the tolerance of the account's limit admitted the request.
+	beyond bool
 	// nested requests come without a key on an open route: that is how backend
 	// servers call each other for a request that they run.
 	nested bool
@@ -254,7 +256,7 @@
 	}
 	var u *call.Unknown
 	if j.account != "" && !errors.As(err, &u) {
-		s.limits.split.GiveBack(j.account)
+		s.limits.split.GiveBack(j.account, j.beyond)
 	}
 	return nil, err
 }
@@ -271,7 +273,7 @@
 	if ok, after := s.limits.take(ctx, j.account); !ok {
 		return &rejection{http.StatusTooManyRequests, "RateExceeded", "", after}
 	}
-	if s.limits.split.Beyond(j.account) {
+	if j.beyond = s.limits.split.Beyond(j.account); j.beyond {
 		j.priority += beyondRank
 	}
 	return nil
--- a/internal/sidecar/connections.go
+++ b/internal/sidecar/connections.go
@@ -96,6 +96,7 @@
 	c.closing[n] = true
 }
 
+// surplus returns the idle connections to close and marks them.
 func (c *connections) surplus(limit time.Duration) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -61,7 +61,7 @@
 	// priority they should have. Where all else is equal they go first:
 	// refusing one wastes what has run.
 	Nested bool
-	// Root tells the requests from which nested ones come apart, by a hash.
+	// Root is a hash of the ID of the request for which a nested one was made.
 	Root uint32
 }
 
--- a/pkg/split/split.go
+++ b/pkg/split/split.go
@@ -222,14 +222,18 @@
 	return false
 }
 
-// GiveBack returns the token of a request that was refused and has not run.
-func (s *Split) GiveBack(account string) {
+// GiveBack returns the tokens of a request that was refused and has not run.
+// beyond is what Beyond reported of it.
+func (s *Split) GiveBack(account string, beyond bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b := s.buckets[account]; b != nil {
 		b.Tokens = min(b.Capacity, b.Tokens+1)
 		b.Admitted--
 	}
+	if b := s.proper[account]; b != nil && !beyond {
+		b.Tokens = min(b.Capacity, b.Tokens+1)
+	}
 }
 
 // Each calls f with the limit and this node's part of each account that has a
--- a/pkg/split/split_test.go
+++ b/pkg/split/split_test.go
@@ -238,3 +238,19 @@
 		assert.Assert(t, part >= c.least && part <= c.most, "%s: %d of %d", c.name, beyond, admitted)
 	}
 }
+
+// Guards against an account within its rate that goes behind others because many
+// of its requests were refused for other reasons and came again.
+func TestRefusedRequestsDoNotCountAsBeyond(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := split.New(split.Tolerance{Overage: 0.25, Slack: 20})
+	s.Now = func() time.Time { return now }
+	s.Configure(map[string]split.Limit{"club": {Rate: 100, Burst: 10}})
+	for range 500 {
+		ok, _ := s.Take("club")
+		assert.Assert(t, ok)
+		beyond := s.Beyond("club")
+		assert.Assert(t, !beyond)
+		s.GiveBack("club", beyond)
+	}
+}
