sidecar: log the connections that a stop closes

A request that was read and got no response left no line: net/http never called the handler, or the handler aborted before it logged.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -101,6 +101,7 @@
 // ServeHTTP implements http.Handler.
 func (s *callerHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	if s.closedWhileIdle(in.Context()) {
+		s.log.Warn("request was read on a connection that was closed as idle", "request", in.Header.Get(s.names.RequestID))
 		panic(http.ErrAbortHandler)
 	}
 	record := RequestRecord{}
--- a/internal/sidecar/connections.go
+++ b/internal/sidecar/connections.go
@@ -123,6 +123,13 @@
 	return out
 }
 
+// counts returns the number of open connections and how many of them are idle.
+func (c *callerConnections) counts() (open, idle int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, len(c.idleSince)
+}
+
 // nearMax reports whether more than half of the allowed connections are open.
 // Refused callers should then not keep theirs.
 func (c *callerConnections) nearMax() bool {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -36,6 +36,8 @@
 	n.admissionEnded.Store(true)
 	n.admission.SetClosed(priorityadmission.Leaving)
 	pauseUntil(began.Add(n.StopPlan.AcceptFor))
+	open, idle := n.callerConnections.counts()
+	n.Log.Info("listeners close", "connections", open, "idle", idle)
 	// Shutdown would close them too, but would forward a request that arrives at
 	// that moment.
 	n.callerConnections.closeIdle()
@@ -45,7 +47,8 @@
 	for _, l := range s.all() {
 		w.Go(func() {
 			if err := l.server.Shutdown(ctx); err != nil {
-				n.Log.Warn("connections still in use at the end of the stop are closed", "address", l.listener.Addr().String(), "error", err)
+				open, _ := n.callerConnections.counts()
+				n.Log.Warn("connections still in use at the end of the stop are closed", "address", l.listener.Addr().String(), "caller_connections", open, "error", err)
 				_ = l.server.Close()
 			}
 		})
