sidecar: let two runs of the package's tests share a machine

Tests of two runs at the same time bound the same loopback address: 'cannot listen on 127.7.0.2:18366, address already in use', seen as 'no ready' after 10 s in TestRequestsThatAreNotAllowedDoNotRun and TestUnsafeRequestRunsOnce while another run of the package was under way. Two copies of the test binary, started together, showed it again; with an address by process both pass.

--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -230,12 +231,13 @@
 	usedHosts int
 )
 
-// nextLoopbackHost returns a loopback address that no other test uses.
+// nextLoopbackHost returns a loopback address that no other test uses. The second
+// octet keeps runs of this package apart that take place at the same time.
 func nextLoopbackHost() string {
 	usedMu.Lock()
 	defer usedMu.Unlock()
 	usedHosts++
-	return fmt.Sprintf("127.7.%d.%d", usedHosts/250, 1+usedHosts%250)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%254, usedHosts/250, 1+usedHosts%250)
 }
 
 const (
