http1, sidecar: answer every request that was read on a closing connection

On a host with 0.16 of a core a request may have been sent long before it is read, and callers keep coming while too few nodes of a zone are ready.

Evidence: a connection opened before the stop, a request sent on it after the listeners were closed: 'unexpected EOF' each time on (TestRequestReadDuringStopIsAnswered). With Close in place of the read deadline TestRequestReadBeforeIdleCloseIsAnswered fails in all three cases (idle limit, surplus, drain) with 'unexpected EOF', and without the look at unread bytes TestConnectionWithUnreadRequestIsNotClosed fails with 'connection reset by peer'.

Change: http1.Server closes an idle connection by a read deadline in the past. The goroutine that reads it either fails before it has read a request, or the request is answered and its response closes the connection. A connection with unread bytes is not closed. Draining closes the listener and waits for the connections; it does not call Shutdown. All servers of the sidecar use it, so that requests of other nodes are not dropped in a stop either.

Replaced tests: TestRequestOnAConnectionClosedWhileIdleIsNotForwarded, -IsDetected and TestSurplusIdleConnectionsAreMarked demanded that a request read on such a connection be aborted and not reach a backend server. It is answered now, which is stricter for the caller: TestRequestReadBeforeIdleCloseIsAnswered and TestSweepClosesTheLongestIdleConnections check that for the same closes.

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -281,24 +281,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	n := c.Conn
-	if t, ok := n.(interface{ NetConn() net.Conn }); ok {
-		n = t.NetConn()
-	}
-	s, ok := n.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && alive
+	unread, err := peek(c.Conn)
+	return unread == 0 && err == nil
 }
--- /dev/null
+++ b/internal/http1/server.go
@@ -0,0 +1,251 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// drainInterval is the time between attempts to close idle connections while a
+	// server drains.
+	drainInterval = 50 * time.Millisecond
+	// firstRequestTimeout is how long a draining server waits for the first byte
+	// on a connection without a request.
+	firstRequestTimeout = time.Second
+)
+
+// A Server serves HTTP/1.1 on one listener and answers every request that it has
+// read, also while it closes connections. http.Server.Shutdown does not: it drops
+// the requests that are read after it was called, and it closes connections on
+// which the next request is being read.
+//
+// An idle connection is closed by a read deadline in the past. The goroutine that
+// reads from the connection then decides: either it fails before it has read a
+// request, or the request is answered and the connection is closed after it.
+type Server struct {
+	// HTTP is the server whose Handler and hooks were given to NewServer. Its
+	// ReadTimeout must be zero, since the read deadline of connections is used.
+	HTTP     *http.Server
+	Listener net.Listener
+	Now      func() time.Time
+
+	serveOnce sync.Once
+	// served is closed when Serve has returned, or will not be called.
+	served chan struct{}
+
+	mu    sync.Mutex
+	conns map[net.Conn]*serverConn
+	// keepAlivesEnded is set once every response closes its connection.
+	keepAlivesEnded bool
+	// connClosed is closed with the next connection that closes.
+	connClosed chan struct{}
+}
+
+// A serverConn is the state of one connection.
+type serverConn struct {
+	state http.ConnState
+	// since is when the connection was accepted or became idle last.
+	since time.Time
+	// closing is set once the connection was to be closed. If a request was read
+	// first, its response closes the connection.
+	closing bool
+}
+
+// serverConnKey is the context key of a request's connection.
+type serverConnKey struct{}
+
+// NewServer returns a Server for the listener. It wraps the handler and the hooks
+// ConnState and ConnContext of h.
+func NewServer(h *http.Server, l net.Listener) *Server {
+	s := &Server{
+		HTTP: h, Listener: l, Now: time.Now, served: make(chan struct{}),
+		conns: map[net.Conn]*serverConn{}, connClosed: make(chan struct{}),
+	}
+	handler, onState, onConn := h.Handler, h.ConnState, h.ConnContext
+	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n, ok := r.Context().Value(serverConnKey{}).(net.Conn); ok && s.closesAfterResponse(n) {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	h.ConnState = func(n net.Conn, state http.ConnState) {
+		s.onStateChange(n, state)
+		if onState != nil {
+			onState(n, state)
+		}
+	}
+	h.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		if onConn != nil {
+			ctx = onConn(ctx, n)
+		}
+		return context.WithValue(ctx, serverConnKey{}, n)
+	}
+	return s
+}
+
+// Serve accepts connections until the listener is closed. It is called at most
+// once.
+func (s *Server) Serve() {
+	s.serveOnce.Do(func() {
+		defer close(s.served)
+		_ = s.HTTP.Serve(s.Listener)
+	})
+}
+
+// onStateChange is the ConnState hook of the http.Server.
+func (s *Server) onStateChange(n net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[n] = &serverConn{state: state, since: s.Now()}
+	case http.StateActive:
+		if c := s.conns[n]; c != nil {
+			c.state = state
+			if c.closing {
+				// The request was read before the deadline took effect. Its body
+				// may still arrive.
+				_ = n.SetReadDeadline(time.Time{})
+			}
+		}
+	case http.StateIdle:
+		if c := s.conns[n]; c != nil {
+			c.state, c.since = state, s.Now()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, n)
+		close(s.connClosed)
+		s.connClosed = make(chan struct{})
+	}
+}
+
+// closesAfterResponse reports whether the response on a connection is to close it.
+func (s *Server) closesAfterResponse(n net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.conns[n]
+	return s.keepAlivesEnded || c != nil && c.closing
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Idle returns the number of connections that wait for their next request.
+func (s *Server) Idle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle := 0
+	for _, c := range s.conns {
+		if c.state == http.StateIdle {
+			idle++
+		}
+	}
+	return idle
+}
+
+// EndKeepAlives makes the response to each further request close its connection.
+func (s *Server) EndKeepAlives() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keepAlivesEnded = true
+}
+
+// Sweep closes the connections that were idle for longer than limit, and the
+// longest idle ones while more than maxOpen are open. A limit of zero means no
+// time limit.
+func (s *Server) Sweep(limit time.Duration, maxOpen int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, excess := s.Now(), len(s.conns)-maxOpen
+	for n, c := range s.conns {
+		if c.state == http.StateIdle && (c.closing || limit > 0 && now.Sub(c.since) > limit) && c.close(n) {
+			excess--
+		}
+	}
+	for ; excess > 0; excess-- {
+		n := s.longestIdle()
+		if n == nil {
+			return
+		}
+		c := s.conns[n]
+		// A request that has arrived makes the connection busy.
+		if !c.close(n) {
+			c.since = now
+		}
+	}
+}
+
+// longestIdle returns the connection that has been idle for longest and is not
+// closing, or nil if there is none.
+func (s *Server) longestIdle() net.Conn {
+	var found net.Conn
+	for n, c := range s.conns {
+		if c.state == http.StateIdle && !c.closing && (found == nil || c.since.Before(s.conns[found].since)) {
+			found = n
+		}
+	}
+	return found
+}
+
+// close lets reads from an idle or new connection fail, so that the server closes
+// it. It reports false and does nothing if unread bytes have arrived. The caller
+// holds the mutex of the server.
+func (c *serverConn) close(n net.Conn) bool {
+	if unread, _ := peek(n); unread > 0 {
+		return false
+	}
+	c.closing = true
+	_ = n.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// closeUnused closes the connections that no request uses and returns the number
+// of open connections.
+func (s *Server) closeUnused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	for n, c := range s.conns {
+		if c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) > firstRequestTimeout {
+			// net/http sets a deadline of its own when a connection becomes idle,
+			// which may replace this one. The next call sets it again.
+			c.close(n)
+		}
+	}
+	return len(s.conns)
+}
+
+// Drain closes the listener, closes each connection once no request uses it, and
+// returns when all are closed. If ctx ends first, it closes the remaining
+// connections at once and returns their number.
+func (s *Server) Drain(ctx context.Context) (cut int) {
+	s.EndKeepAlives()
+	_ = s.Listener.Close()
+	s.serveOnce.Do(func() { close(s.served) })
+	<-s.served
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		connClosed := s.connClosed
+		s.mu.Unlock()
+		open := s.closeUnused()
+		if open == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			_ = s.HTTP.Close()
+			return open
+		case <-connClosed:
+		case <-t.C:
+		}
+	}
+}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -51,9 +51,6 @@
 	service func() string
 	// stopping reports whether the node is stopping.
 	stopping func() bool
-	// closedWhileIdle reports whether the connection of the request was closed
-	// because it was idle.
-	closedWhileIdle func(context.Context) bool
 	// nearMaxConnections reports whether callers hold many connections.
 	nearMaxConnections func() bool
 	recordRequest      func(record *RequestRecord)
@@ -100,10 +97,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *callerHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	if s.closedWhileIdle(in.Context()) {
-		s.log.Warn("request was read on a connection that was closed as idle", "request", in.Header.Get(s.names.RequestID))
-		panic(http.ErrAbortHandler)
-	}
 	record := RequestRecord{}
 	began := s.now()
 	defer func() {
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -5,31 +5,28 @@
 	"net"
 	"net/http"
 	"time"
-)
 
-// A boundServer is an HTTP server and its listener.
-type boundServer struct {
-	server   *http.Server
-	listener net.Listener
-}
+	"quetzaldock.example/quetzaldock/internal/http1"
+)
 
-// servers holds the HTTP servers of a node.
+// servers holds the HTTP servers of a node. operator is nil if the node has no
+// operator address.
 type servers struct {
-	callers, nodes, ready, operator boundServer
+	callers, nodes, ready, operator *http1.Server
 }
 
 // close closes all listeners that are open.
 func (s *servers) close() {
 	for _, o := range s.all() {
-		_ = o.listener.Close()
+		_ = o.Listener.Close()
 	}
 }
 
 // all lists the servers with an open listener.
-func (s *servers) all() []boundServer {
-	var all []boundServer
-	for _, o := range []boundServer{s.callers, s.nodes, s.ready, s.operator} {
-		if o.listener != nil {
+func (s *servers) all() []*http1.Server {
+	var all []*http1.Server
+	for _, o := range []*http1.Server{s.callers, s.nodes, s.ready, s.operator} {
+		if o != nil {
 			all = append(all, o)
 		}
 	}
@@ -42,7 +39,7 @@
 	bound := &servers{}
 	nodeRequestHandler := &nodeRequestHandler{names: &n.HeaderNames, localBackend: n.localBackend, now: time.Now, requestHosts: &n.requestHosts, calls: &n.calls}
 	for _, spec := range []struct {
-		to      *boundServer
+		to      **http1.Server
 		address string
 		handler http.Handler
 	}{
@@ -59,12 +56,11 @@
 			bound.close()
 			return nil, ListenFailed.Wrap(err, "cannot listen on %s", spec.address)
 		}
-		*spec.to = boundServer{&http.Server{
+		*spec.to = http1.NewServer(&http.Server{
 			Handler: spec.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
-		}, listener}
+		}, listener)
 	}
-	bound.callers.server.ConnState, bound.callers.server.ConnContext = n.callerConnections.onStateChange, withConnection
 	return bound, nil
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -93,10 +93,10 @@
 	localBackend    *localBackend
 	remoteNodes     *remoteNodes
 	callerHandler   *callerHandler
-	// callerConnections tracks the connections of callers.
-	callerConnections callerConnections
-	splitter          routeSplitter
-	calls             callGraph
+	// callers serves the requests of callers. It is set before requests are served.
+	callers  *http1.Server
+	splitter routeSplitter
+	calls    callGraph
 
 	// updateMu serializes the application of updates and the reading of the full
 	// state for replies.
@@ -170,6 +170,7 @@
 	if err != nil {
 		return err
 	}
+	n.callers = servers.callers
 	controlListener, err := net.Listen("tcp", n.Settings.ControlAddress)
 	if err != nil {
 		servers.close()
@@ -188,7 +189,7 @@
 		}
 	})
 	for _, s := range servers.all() {
-		background.Go(func() { _ = s.server.Serve(s.listener) })
+		background.Go(s.Serve)
 	}
 	n.Log.Info("node started", "service", n.Settings.Service, "zone", n.Settings.Zone)
 	select {
@@ -215,7 +216,6 @@
 	s := n.settings()
 	n.updateLog, n.controlClient = relay.NewLog(), &peer.Client{Dial: DialTCP}
 	n.sourceSelector.Self = relay.Member{Address: s.ControlAddress, Zone: s.Zone}
-	n.callerConnections.maxOpen, n.callerConnections.now = s.MaxConnections, time.Now
 	n.directory = fleet.NewDirectory(n.Bounds.ExpiryGrace)
 	n.directory.MinOutage = n.Bounds.MinOutage
 	n.chooser = balance.New(s.Zone)
@@ -244,7 +244,7 @@
 	n.callerHandler = &callerHandler{
 		names: &n.HeaderNames, dispatch: d, accountLimits: n.accountLimits, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
-		stopping: n.stopping.Load, closedWhileIdle: n.callerConnections.closedWhileIdle, nearMaxConnections: n.callerConnections.nearMax, recordRequest: func(record *RequestRecord) {
+		stopping: n.stopping.Load, nearMaxConnections: n.nearMaxConnections, recordRequest: func(record *RequestRecord) {
 			requestLog.logRequest(record)
 			n.metrics.Observe(record.Account, record.Route, record.Status, record.Reason, record.Latency)
 		},
@@ -284,7 +284,7 @@
 		case <-t.C:
 			n.directory.RemoveExpired()
 			n.remoteNodes.pools.Sweep(time.Now().Add(-idleNodeTimeout))
-			n.callerConnections.sweep(n.callerIdleLimit())
+			n.callers.Sweep(n.callerIdleLimit(), n.settings().MaxConnections)
 		}
 	}
 }
@@ -312,6 +312,12 @@
 	n.sourceSelector.SetMembers(all)
 }
 
+// nearMaxConnections reports whether callers hold more than half of the allowed
+// connections. Refused callers should then not keep theirs.
+func (n *Node) nearMaxConnections() bool {
+	return n.callers.Open() > n.settings().MaxConnections/2
+}
+
 // callerIdleLimit returns how long a caller's connection may stay idle.
 func (n *Node) callerIdleLimit() time.Duration {
 	v := n.snapshot.Load()
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -31,25 +31,21 @@
 func (n *Node) stop(s *servers) {
 	began := time.Now()
 	n.stopping.Store(true)
+	s.callers.EndKeepAlives()
 	n.Log.Info("node stops")
 	pauseUntil(began.Add(n.StopPlan.AdmitFor))
 	n.admissionEnded.Store(true)
 	n.admission.SetClosed(priorityadmission.Leaving)
+	s.nodes.EndKeepAlives()
 	pauseUntil(began.Add(n.StopPlan.AcceptFor))
-	open, idle := n.callerConnections.counts()
-	n.Log.Info("listeners close", "connections", open, "idle", idle)
-	// Shutdown would close them too, but would forward a request that arrives at
-	// that moment.
-	n.callerConnections.closeIdle()
+	n.Log.Info("listeners close", "connections", s.callers.Open(), "idle", s.callers.Idle())
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.StopTimeout-n.StopPlan.KillMargin))
 	defer cancel()
 	var w sync.WaitGroup
 	for _, l := range s.all() {
 		w.Go(func() {
-			if err := l.server.Shutdown(ctx); err != nil {
-				open, _ := n.callerConnections.counts()
-				n.Log.Warn("connections still in use at the end of the stop are closed", "address", l.listener.Addr().String(), "caller_connections", open, "error", err)
-				_ = l.server.Close()
+			if cut := l.Drain(ctx); cut > 0 {
+				n.Log.Warn("connections still in use at the end of the stop were closed", "address", l.Listener.Addr().String(), "connections", cut)
 			}
 		})
 	}
