sidecar: answer the requests that a stop does not finish

Callers whose request still waited for a backend server 5.1 s after SIGTERM had their connection closed without a response (LOST), and so had those whose response was being sent at that time, although its backend server had finished.

Cause: one limit ended everything. The stop had no step between waiting for requests and closing their connections.

Evidence: TestRequestsWithoutResponseAreAnsweredAtTheEndOfAStop on the code before, with its one margin: 'unexpected EOF'. TestRequestThatOutlastsAStopIsRefused: a POST with a limit of 1.5 s was forwarded 1.2 s before the end, status 200 in place of 503.

Change: 0.9 s before the kill each request without a response gets one: 503 if it was not sent to a backend server, 502 if it was. Responses that have begun go on for another 0.4 s before the connections are closed. Once the listeners are closed, a request whose deadline is later than that is refused at once.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/call"
@@ -51,6 +52,12 @@
 	service func() string
 	// stopping reports whether the node is stopping.
 	stopping func() bool
+	// waitingCtx ends when requests without a response must get one, because the
+	// node stops.
+	waitingCtx context.Context
+	// answerBy, if set, is when waitingCtx ends. Requests that may take longer are
+	// not accepted.
+	answerBy atomic.Pointer[time.Time]
 	// nearMaxConnections reports whether callers hold many connections.
 	nearMaxConnections func() bool
 	recordRequest      func(record *RequestRecord)
@@ -118,7 +125,9 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(j.deadline.Add(writeGrace))
 	ctx, cancel := context.WithDeadline(in.Context(), j.deadline)
 	defer cancel()
+	keepContext := context.AfterFunc(s.waitingCtx, cancel)
 	a, err := s.serve(ctx, j)
+	keepContext()
 	record.Instances, record.Runs = j.instances, j.runs
 	if err != nil {
 		s.writeRejection(w, in, err, &record)
@@ -239,6 +248,9 @@
 		timeout = min(timeout, time.Duration(t)*time.Millisecond)
 	}
 	j.deadline = now.Add(timeout)
+	if end := s.answerBy.Load(); end != nil && j.deadline.After(*end) {
+		return &priorityadmission.Refusal{Reason: priorityadmission.Leaving}
+	}
 	if t := j.route.ObjectiveMs; t > 0 {
 		j.objective = now.Add(time.Duration(t)*time.Millisecond - waited)
 	}
@@ -320,11 +332,15 @@
 	case errors.As(err, &r):
 		return r
 	case errors.As(err, &f):
-		after := f.RetryAfter
+		after, reason := f.RetryAfter, f.Reason
 		if after <= 0 {
 			after = defaultRetryAfter
 		}
-		return &rejection{http.StatusServiceUnavailable, string(f.Reason), "", after}
+		if reason == priorityadmission.Canceled {
+			// The caller is still there, so the node ended the wait.
+			reason = priorityadmission.Leaving
+		}
+		return &rejection{http.StatusServiceUnavailable, string(reason), "", after}
 	case errors.As(err, &b) && b.TimedOut:
 		return &rejection{http.StatusRequestTimeout, "BodyLate", "", 0}
 	case errors.As(err, &b):
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -133,6 +133,8 @@
 	stopping       atomic.Bool
 	admissionEnded atomic.Bool
 	healthWanted   chan struct{}
+	// endWaiting ends the requests of callers that have no response yet.
+	endWaiting context.CancelFunc
 
 	restartMu       sync.Mutex
 	restartDetector priorityadmission.RestartDetector
@@ -166,6 +168,7 @@
 	defer stopLog()
 	n.buildComponents()
 	defer func() { _ = n.metrics.Close() }()
+	defer n.endWaiting()
 	servers, err := n.listen()
 	if err != nil {
 		return err
@@ -241,7 +244,10 @@
 		now: time.Now, selfAddress: s.CallAddress, calls: &n.calls, pickService: func(j *job) string { return n.splitter.pick(j.route) },
 	}
 	n.metrics = operator.NewMetrics()
+	var waitingCtx context.Context
+	waitingCtx, n.endWaiting = context.WithCancel(context.Background())
 	n.callerHandler = &callerHandler{
+		waitingCtx: waitingCtx,
 		names: &n.HeaderNames, dispatch: d, accountLimits: n.accountLimits, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
 		stopping: n.stopping.Load, nearMaxConnections: n.nearMaxConnections, recordRequest: func(record *RequestRecord) {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -17,17 +17,22 @@
 	// AcceptFor is how long new requests of callers are accepted. The deployment
 	// checks readiness once a second and moves callers after two failed checks.
 	AcceptFor time.Duration
-	// KillMargin is the time reserved before the process is killed.
+	// AnswerMargin is how long before the process is killed each request that has no
+	// response yet gets one of the node. A request that is accepted after AcceptFor
+	// must end before that.
+	AnswerMargin time.Duration
+	// KillMargin is how long before the process is killed all connections are closed.
 	KillMargin time.Duration
 }
 
 // DefaultStopPlan fits a deployment that checks readiness once a second.
 func DefaultStopPlan() StopPlan {
-	return StopPlan{AdmitFor: 2200 * time.Millisecond, AcceptFor: 2500 * time.Millisecond, KillMargin: 900 * time.Millisecond}
+	return StopPlan{AdmitFor: 2200 * time.Millisecond, AcceptFor: 2500 * time.Millisecond, AnswerMargin: 900 * time.Millisecond, KillMargin: 500 * time.Millisecond}
 }
 
 // stop ends the node in order: readiness fails, then admission closes, then the
-// listeners close, and running requests finish.
+// listeners close, and running requests finish. Those that do not finish in time get
+// a response of the node.
 func (n *Node) stop(s *servers) {
 	began := time.Now()
 	n.stopping.Store(true)
@@ -39,6 +44,9 @@
 	s.nodes.EndKeepAlives()
 	pauseUntil(began.Add(n.StopPlan.AcceptFor))
 	n.Log.Info("listeners close", "connections", s.callers.Open(), "idle", s.callers.Idle())
+	answerBy := began.Add(n.Bounds.StopTimeout - n.StopPlan.AnswerMargin)
+	n.callerHandler.answerBy.Store(&answerBy)
+	defer time.AfterFunc(time.Until(answerBy), n.endWaiting).Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.StopTimeout-n.StopPlan.KillMargin))
 	defer cancel()
 	var w sync.WaitGroup
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -42,12 +44,95 @@
 		m.stops[0]()
 	}()
 	waitFor(t, "closed listener", func() bool { return refusesConnections(m.nodes[0]) })
-	_, err := fmt.Fprintf(c, "GET /list/1 HTTP/1.1\r\nHost: mesh\r\n%s: late\r\n%s: 1000\r\n%s: secret\r\n\r\n", testHeaders.RequestID, testHeaders.TimeLeft, testHeaders.Key)
-	assert.NilError(t, err)
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	a, err := http.ReadResponse(sendOn(t, c, http.MethodGet, "/list/late"), nil)
 	assert.NilError(t, err)
 	assert.Assert(t, a.Close, "the caller is not asked to connect elsewhere")
 	_ = a.Body.Close()
 	<-stopped
 }
+
+// sendOn sends one request on a connection and returns a reader of the response.
+func sendOn(t *testing.T, c net.Conn, method, path string) *bufio.Reader {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: mesh\r\n%s: %s\r\n%s: 10000\r\n%s: secret\r\n\r\n",
+		method, path, testHeaders.RequestID, path, testHeaders.TimeLeft, testHeaders.Key)
+	assert.NilError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return bufio.NewReader(c)
+}
+
+// Guards against requests that wait for a backend server when the time of a stop is
+// over and whose connection is then closed without a response, and against a
+// response that is cut although it has begun.
+func TestRequestsWithoutResponseAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	m := newMesh(t, 1)
+	b, n := m.backends[0], m.nodes[0]
+	n.StopPlan.AnswerMargin, n.StopPlan.KillMargin = n.Bounds.StopTimeout-500*time.Millisecond, 0
+	release, rest := make(chan struct{}), make(chan struct{})
+	const half = maxBufferedResponseBytes
+	b.handle = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/list/stream" {
+			<-release
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(2*half))
+		_, _ = w.Write(make([]byte, half))
+		w.(http.Flusher).Flush()
+		<-rest
+		_, _ = w.Write(make([]byte, half))
+	}
+	defer close(release)
+	conns := make([]net.Conn, 6)
+	for i := range conns {
+		conns[i] = openCallerConnection(t, n)
+	}
+	stream := sendOn(t, conns[0], http.MethodGet, "/list/stream")
+	a, err := http.ReadResponse(stream, nil)
+	assert.NilError(t, err)
+	// Some of these run and the others wait for a slot.
+	var waiting []*bufio.Reader
+	for i, c := range conns[1:] {
+		waiting = append(waiting, sendOn(t, c, http.MethodPost, fmt.Sprintf("/entry/%d", i)))
+	}
+	waitFor(t, "queue", func() bool { return n.admission.Load().Queued > 0 })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		m.stops[0]()
+	}()
+	statuses := map[int]int{}
+	for _, r := range waiting {
+		a, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		statuses[a.StatusCode]++
+		assert.Assert(t, a.Close)
+	}
+	assert.Equal(t, statuses[http.StatusServiceUnavailable]+b.count()-1, len(waiting), "%v", statuses)
+	assert.Equal(t, statuses[http.StatusBadGateway], b.count()-1, "%v", statuses)
+	close(rest)
+	body, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 2*half)
+	<-stopped
+}
+
+// Guards against a late request that is accepted although the node may end before
+// its response.
+func TestRequestThatOutlastsAStopIsRefused(t *testing.T) {
+	m := newMesh(t, 2)
+	n := m.nodes[0]
+	n.StopPlan.AnswerMargin = n.Bounds.StopTimeout - 1200*time.Millisecond
+	c := openCallerConnection(t, n)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		m.stops[0]()
+	}()
+	waitFor(t, "closed listener", func() bool { return refusesConnections(n) })
+	a, err := http.ReadResponse(sendOn(t, c, http.MethodPost, "/entry/late"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, a.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, a.Header.Get("Retry-After") != "")
+	assert.Equal(t, m.runs(), 0)
+	<-stopped
+}
