--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -248,7 +248,7 @@
 	waitingCtx, n.endWaiting = context.WithCancel(context.Background())
 	n.callerHandler = &callerHandler{
 		waitingCtx: waitingCtx,
-		names: &n.HeaderNames, dispatch: d, accountLimits: n.accountLimits, log: n.Log, now: time.Now,
+		names:      &n.HeaderNames, dispatch: d, accountLimits: n.accountLimits, log: n.Log, now: time.Now,
 		snapshot: n.snapshot.Load, service: func() string { return n.settings().Service },
 		stopping: n.stopping.Load, nearMaxConnections: n.nearMaxConnections, recordRequest: func(record *RequestRecord) {
 			requestLog.logRequest(record)
