node: answer every call that was read while the node stops

A caller, or another node that had sent a call, saw the connection end without a response; for a call of another node that is an unknown outcome.

Evidence: TestCallReadDuringStopIsAnswered fails on the code before with 'unexpected EOF' (2 of 2) and passes 5 of 5 with http1.Server, which drains the three ports.

--- a/internal/node/httpservers.go
+++ b/internal/node/httpservers.go
@@ -4,12 +4,12 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"quetzaldock.example/quetzaldock/internal/caller"
+	"quetzaldock.example/quetzaldock/internal/http1"
 	"quetzaldock.example/quetzaldock/internal/operator"
 	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/pkg/fairadmission"
@@ -19,16 +19,10 @@
 // calls are still running.
 const drainPollInterval = 20 * time.Millisecond
 
-// An httpServer is an HTTP server with its listener.
-type httpServer struct {
-	*http.Server
-	listener net.Listener
-}
-
 // httpServers holds the HTTP servers for callers, for calls of other nodes and
 // for operators.
 type httpServers struct {
-	caller, call, operator httpServer
+	caller, call, operator *http1.Server
 }
 
 func (n *Node) newServers() *httpServers {
@@ -44,26 +38,26 @@
 		callListener = tls.NewListener(callListener, n.TLS.ServerConfig("http/1.1"))
 	}
 	operators := &operator.Server{Status: n.Status, Metrics: n.metrics, Level: n.Level, Drain: n.Drain}
-	callers := n.newServer(n.callerHandler, n.listeners.caller)
+	callers := n.newServer(n.callerHandler)
 	limit := &caller.ConnectionLimiter{MaxConnections: caller.DefaultMaxConnections}
 	callers.ConnContext, callers.ConnState = limit.OnConnect, limit.OnConnState
 	return &httpServers{
-		caller:   callers,
-		call:     n.newServer(calls, callListener),
-		operator: n.newServer(operators.Handler(), n.listeners.operator),
+		caller:   http1.NewServer(callers, n.listeners.caller),
+		call:     http1.NewServer(n.newServer(calls), callListener),
+		operator: http1.NewServer(n.newServer(operators.Handler()), n.listeners.operator),
 	}
 }
 
-func (n *Node) newServer(h http.Handler, l net.Listener) httpServer {
-	return httpServer{&http.Server{
+func (n *Node) newServer(h http.Handler) *http.Server {
+	return &http.Server{
 		Handler: h, ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: incomingIdleTimeout, MaxHeaderBytes: maxRequestHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelWarn),
-	}, l}
+	}
 }
 
 func (s *httpServers) serve(w *sync.WaitGroup) {
-	for _, x := range []httpServer{s.caller, s.call, s.operator} {
-		w.Go(func() { _ = x.Serve(x.listener) })
+	for _, x := range []*http1.Server{s.caller, s.call, s.operator} {
+		w.Go(x.Serve)
 	}
 }
 
@@ -81,20 +75,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	sleep(ctx, leaveNoticePeriod)
-	n.shutdown(ctx, s.call)
+	n.drainServer(ctx, s.call)
 	for n.backend.RunningCalls.Len() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
-	n.shutdown(ctx, s.caller)
-	n.shutdown(ctx, s.operator)
+	n.drainServer(ctx, s.caller)
+	n.drainServer(ctx, s.operator)
 	n.Log.Info("node stopped", "host", n.Settings.Host)
 }
 
-// shutdown closes a server once its calls have ended, or cuts them when ctx ends.
-func (n *Node) shutdown(ctx context.Context, s httpServer) {
-	if err := s.Shutdown(ctx); err != nil {
-		n.Log.Warn("calls were cut at the end of the stop", "address", s.listener.Addr().String(), "error", err)
-		_ = s.Close()
+// drainServer closes a server once its calls have ended, or cuts them when ctx ends.
+func (n *Node) drainServer(ctx context.Context, s *http1.Server) {
+	if cut := s.Drain(ctx); cut > 0 {
+		n.Log.Warn("calls were cut at the end of the stop", "address", s.Listener.Addr().String(), "connections", cut)
 	}
 }
 
