--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -216,12 +216,14 @@
 }
 
 // A mesh is a few nodes in this process. Each has its own loopback address,
-// because the port for requests of other nodes is the same on all hosts.
+// because the ports are the same on all hosts.
 type mesh struct {
 	store    *memoryStore
 	nodes    []*Node
 	backends []*backendServer
 	stops    []func()
+	// configure, if set, changes each node before it runs.
+	configure func(n *Node)
 	// settingsFile, if set, is the file from which nodes reload their settings.
 	settingsFile atomic.Pointer[string]
 }
@@ -240,9 +242,13 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%254, usedHosts/250, 1+usedHosts%250)
 }
 
+// The ports of each node, below those that the system gives to clients.
 const (
-	testCallPort    = "18366"
-	testControlPort = "18367"
+	testCallerPort   = "18365"
+	testCallPort     = "18366"
+	testControlPort  = "18367"
+	testOperatorPort = "18368"
+	testReadyPort    = "18369"
 )
 
 func testDocument() config.Document {
@@ -267,7 +273,13 @@
 // newMesh starts n nodes, each beside a backend server of the service desk.
 func newMesh(t *testing.T, n int) *mesh {
 	t.Helper()
-	m := &mesh{store: newMemoryStore()}
+	return newMeshWith(t, n, nil)
+}
+
+// newMeshWith is newMesh for nodes that configure changes.
+func newMeshWith(t *testing.T, n int, configure func(n *Node)) *mesh {
+	t.Helper()
+	m := &mesh{store: newMemoryStore(), configure: configure}
 	m.store.publish(&PublishedConfig{Version: 1, Document: testDocument()})
 	for i := range n {
 		host := nextLoopbackHost()
@@ -297,15 +309,9 @@
 // start runs one more node and returns a function that stops it gracefully.
 func (m *mesh) start(t *testing.T, host string, b *backendServer) func() {
 	t.Helper()
-	freeAddress := func() string {
-		l, err := net.Listen("tcp", host+":0")
-		assert.NilError(t, err)
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
 	n := New(Settings{
-		Host: b.id, Service: "desk", Zone: "surco", CallerAddress: freeAddress(), CallAddress: host + ":" + testCallPort,
-		ReadyAddress: freeAddress(), OperatorAddress: freeAddress(), ControlAddress: host + ":" + testControlPort, BackendAddress: b.listener.Addr().String(),
+		Host: b.id, Service: "desk", Zone: "surco", CallerAddress: host + ":" + testCallerPort, CallAddress: host + ":" + testCallPort,
+		ReadyAddress: host + ":" + testReadyPort, OperatorAddress: host + ":" + testOperatorPort, ControlAddress: host + ":" + testControlPort, BackendAddress: b.listener.Addr().String(),
 		PlatformURL: "http://127.0.0.1:1", MemoryMB: 128, MaxConnections: 600, LogLevel: "Info",
 	})
 	n.HeaderNames, n.Source, n.ReadyPath = testHeaders, m.store.source(b.id), "/ready"
@@ -318,6 +324,9 @@
 		}
 		return n.settings(), nil
 	}
+	if m.configure != nil {
+		m.configure(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
