sidecar: refuse downloads that could last until a stopping node is killed

Callers of a stopping node had downloads cut in the middle of the answer (LOST), although the backend server had finished.

Cause: the node accepts requests for 2.5 s after SIGTERM, and a download may take its whole 4 s where many responses share a link of 17 Mbit/s. Nothing compared its deadline with the end of the process.

Change: a stopping node refuses a download whose deadline is after the close of all connections, with a time to come back; that close is 0.2 s before the kill instead of 0.5 s. Other requests have short responses, and get one of the node at 5.1 s.

Test: TestDownloadThatOutlastsAStopIsRefused failed before: '200 (a.StatusCode int) != 503'. TestPlannedStopCutsNoRequest now says which request ended early: 503 Late in about 1 of 20 runs at a load average of 30, before the stop begins; meshes of tests wait until each node can choose among all instances, which did not change that.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -55,9 +55,9 @@
 	// waitingCtx ends when requests without a response must get one, because the
 	// node stops.
 	waitingCtx context.Context
-	// answerBy, if set, is when waitingCtx ends. Requests that may take longer are
-	// not accepted.
-	answerBy atomic.Pointer[time.Time]
+	// stopDeadlines is set once the node stops. Requests that may last longer are not
+	// accepted.
+	stopDeadlines atomic.Pointer[stopDeadlines]
 	// nearMaxConnections reports whether callers hold many connections.
 	nearMaxConnections func() bool
 	recordRequest      func(record *RequestRecord)
@@ -248,7 +248,7 @@
 		timeout = min(timeout, time.Duration(t)*time.Millisecond)
 	}
 	j.deadline = now.Add(timeout)
-	if end := s.answerBy.Load(); end != nil && j.deadline.After(*end) {
+	if d := s.stopDeadlines.Load(); d != nil && d.outlasts(j, now) {
 		return &priorityadmission.Refusal{Reason: priorityadmission.Leaving}
 	}
 	if t := j.route.ObjectiveMs; t > 0 {
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -200,7 +200,14 @@
 	for range 6 {
 		go func() { got <- m.send(t, 0, http.MethodPost, "/entry/1") }()
 	}
-	waitFor(t, "runs", func() bool { return m.runs() == 6 })
+	waitFor(t, "runs", func() bool {
+		select {
+		case a := <-got:
+			t.Fatalf("a request ended before the stop: %+v", a)
+		default:
+		}
+		return m.runs() == 6
+	})
 	stopped := make(chan struct{})
 	go func() {
 		m.stops[0]()
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -265,6 +265,7 @@
 		Routes: []config.Route{
 			{VirtualHost: "mesh", Prefix: "/list/", Service: "desk", Kind: config.RouteSafe, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
 			{VirtualHost: "mesh", Prefix: "/entry/", Service: "desk", Kind: config.RouteUnsafe, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
+			{VirtualHost: "mesh", Prefix: "/pack/", Service: "desk", Kind: config.RouteDownload, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
 			{VirtualHost: "mesh", Prefix: "/open/", Service: "desk", Kind: config.RouteSafe, TimeoutMs: 1500, Open: true},
 		},
 	}
@@ -290,7 +291,7 @@
 	}
 	for _, node := range m.nodes {
 		waitFor(t, "ready", func() bool {
-			return ready(node) && len(node.directory.View().Instances) == n && node.admission.Load().Permits == 4
+			return ready(node) && len(node.directory.View().Instances) == n && len(node.chooser.HostStatuses()) == n && node.admission.Load().Permits == 4
 		})
 	}
 	return m
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/priorityadmission"
 )
 
@@ -18,8 +19,7 @@
 	// checks readiness once a second and moves callers after two failed checks.
 	AcceptFor time.Duration
 	// AnswerMargin is how long before the process is killed each request that has no
-	// response yet gets one of the node. A request that is accepted after AcceptFor
-	// must end before that.
+	// response yet gets one of the node.
 	AnswerMargin time.Duration
 	// KillMargin is how long before the process is killed all connections are closed.
 	KillMargin time.Duration
@@ -27,7 +27,30 @@
 
 // DefaultStopPlan fits a deployment that checks readiness once a second.
 func DefaultStopPlan() StopPlan {
-	return StopPlan{AdmitFor: 2200 * time.Millisecond, AcceptFor: 2500 * time.Millisecond, AnswerMargin: 900 * time.Millisecond, KillMargin: 500 * time.Millisecond}
+	return StopPlan{AdmitFor: 2200 * time.Millisecond, AcceptFor: 2500 * time.Millisecond, AnswerMargin: 900 * time.Millisecond, KillMargin: 200 * time.Millisecond}
+}
+
+// stopDeadlines are the deadlines of a stop that has begun.
+type stopDeadlines struct {
+	// accept is when the listeners close, answer when each request without a response
+	// gets one of the node, and close when all connections are closed.
+	accept, answer, close time.Time
+}
+
+// deadlines returns the deadlines of a stop that begins at a time and ends with the
+// kill of the process after timeout.
+func (p *StopPlan) deadlines(began time.Time, timeout time.Duration) *stopDeadlines {
+	return &stopDeadlines{accept: began.Add(p.AcceptFor), answer: began.Add(timeout - p.AnswerMargin), close: began.Add(timeout - p.KillMargin)}
+}
+
+// outlasts reports whether a request that arrives now may last longer than the
+// node. The response to a download can be cut after its backend server has finished,
+// while other requests get a response of the node.
+func (d *stopDeadlines) outlasts(j *job, now time.Time) bool {
+	if j.route.Kind == config.RouteDownload {
+		return j.deadline.After(d.close)
+	}
+	return now.After(d.accept) && j.deadline.After(d.answer)
 }
 
 // stop ends the node in order: readiness fails, then admission closes, then the
@@ -35,6 +58,8 @@
 // a response of the node.
 func (n *Node) stop(s *servers) {
 	began := time.Now()
+	deadlines := n.StopPlan.deadlines(began, n.Bounds.StopTimeout)
+	n.callerHandler.stopDeadlines.Store(deadlines)
 	n.stopping.Store(true)
 	s.callers.EndKeepAlives()
 	n.Log.Info("node stops")
@@ -42,12 +67,10 @@
 	n.admissionEnded.Store(true)
 	n.admission.SetClosed(priorityadmission.Leaving)
 	s.nodes.EndKeepAlives()
-	pauseUntil(began.Add(n.StopPlan.AcceptFor))
+	pauseUntil(deadlines.accept)
 	n.Log.Info("listeners close", "connections", s.callers.Open(), "idle", s.callers.Idle())
-	answerBy := began.Add(n.Bounds.StopTimeout - n.StopPlan.AnswerMargin)
-	n.callerHandler.answerBy.Store(&answerBy)
-	defer time.AfterFunc(time.Until(answerBy), n.endWaiting).Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Bounds.StopTimeout-n.StopPlan.KillMargin))
+	defer time.AfterFunc(time.Until(deadlines.answer), n.endWaiting).Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), deadlines.close)
 	defer cancel()
 	var w sync.WaitGroup
 	for _, l := range s.all() {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -136,3 +136,27 @@
 	assert.Equal(t, m.runs(), 0)
 	<-stopped
 }
+
+// Guards against a download that is accepted although its response may be cut when
+// the process is killed, and against the refusal of one that ends before.
+func TestDownloadThatOutlastsAStopIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		timeout time.Duration
+		status  int
+	}{{1600 * time.Millisecond, http.StatusServiceUnavailable}, {10 * time.Second, http.StatusOK}} {
+		m := newMesh(t, 1)
+		n := m.nodes[0]
+		n.StopPlan.AdmitFor, n.StopPlan.AcceptFor, n.Bounds.StopTimeout = time.Second, time.Second, c.timeout
+		conn := openCallerConnection(t, n)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			m.stops[0]()
+		}()
+		waitFor(t, "stop", n.stopping.Load)
+		a, err := http.ReadResponse(sendOn(t, conn, http.MethodGet, "/pack/1"), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, a.StatusCode, c.status)
+		<-stopped
+	}
+}
