http1: visit idle connections once an interval while a server drains

Each connection that closed made Drain look at all idle ones again, under the lock that every request takes: the square of their number. Connections that were idle when the time of a drain was over were reported as requests that were cut.

Found by review.

Change: a closed connection only ends the wait; the interval looks at the idle ones. The connections with a running request are counted as cut.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -33,8 +33,6 @@
 	Now      func() time.Time
 
 	serveOnce sync.Once
-	// served is closed when Serve has returned, or will not be called.
-	served chan struct{}
 
 	mu    sync.Mutex
 	conns map[net.Conn]*serverConn
@@ -61,7 +59,7 @@
 // ConnState and ConnContext of h.
 func NewServer(h *http.Server, l net.Listener) *Server {
 	s := &Server{
-		HTTP: h, Listener: l, Now: time.Now, served: make(chan struct{}),
+		HTTP: h, Listener: l, Now: time.Now,
 		conns: map[net.Conn]*serverConn{}, connClosed: make(chan struct{}),
 	}
 	handler, onState, onConn := h.Handler, h.ConnState, h.ConnContext
@@ -89,10 +87,7 @@
 // Serve accepts connections until the listener is closed. It is called at most
 // once.
 func (s *Server) Serve() {
-	s.serveOnce.Do(func() {
-		defer close(s.served)
-		_ = s.HTTP.Serve(s.Listener)
-	})
+	s.serveOnce.Do(func() { _ = s.HTTP.Serve(s.Listener) })
 }
 
 // onStateChange is the ConnState hook of the http.Server.
@@ -206,9 +201,8 @@
 	return true
 }
 
-// closeUnused closes the connections that no request uses and returns the number
-// of open connections.
-func (s *Server) closeUnused() int {
+// closeUnused closes the connections that no request uses.
+func (s *Server) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
@@ -219,33 +213,47 @@
 			c.close(n)
 		}
 	}
-	return len(s.conns)
+}
+
+// countActive returns the number of connections with a running request.
+func (s *Server) countActive() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := 0
+	for _, c := range s.conns {
+		if c.state == http.StateActive {
+			active++
+		}
+	}
+	return active
 }
 
 // Drain closes the listener, closes each connection once no request uses it, and
 // returns when all are closed. If ctx ends first, it closes the remaining
-// connections at once and returns their number.
+// connections at once and returns the number of requests that this cuts.
 func (s *Server) Drain(ctx context.Context) (cut int) {
 	s.EndKeepAlives()
 	_ = s.Listener.Close()
-	s.serveOnce.Do(func() { close(s.served) })
-	<-s.served
+	// Waits for the end of Serve.
+	s.serveOnce.Do(func() {})
+	s.closeUnused()
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
-		connClosed := s.connClosed
+		open, connClosed := len(s.conns), s.connClosed
 		s.mu.Unlock()
-		open := s.closeUnused()
 		if open == 0 {
 			return 0
 		}
 		select {
 		case <-ctx.Done():
+			cut = s.countActive()
 			_ = s.HTTP.Close()
-			return open
+			return cut
 		case <-connClosed:
 		case <-t.C:
+			s.closeUnused()
 		}
 	}
 }
