http1: read the requests that arrive while connections close

Cause: closing a listener resets the connections that were not accepted, and a read whose deadline has passed does not look for bytes. The request was not read, so this breaks no promise, but costs the caller a try.

Found by review.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -190,6 +190,48 @@
 	assert.Assert(t, c.receive().Close)
 }
 
+// Guards against a request that arrives after the read deadline of its idle
+// connection has passed, but before the goroutine that reads from it has run, and
+// that gets no response. On a busy host this takes long.
+func TestRequestBeforeDelayedIdleCloseIsAnswered(t *testing.T) {
+	expired, resume := make(chan struct{}, 8), make(chan struct{})
+	l := &hookedListener{}
+	s := serveHooked(t, l, nil)
+	c := dialIdle(t, s)
+	hold := func() {
+		expired <- struct{}{}
+		<-resume
+	}
+	l.onReadError.Store(&hold)
+	go func() { _ = s.Drain(t.Context()) }()
+	<-expired
+	c.send()
+	close(resume)
+	assert.Assert(t, c.receive().Close)
+}
+
+// Guards against a request on a connection that the kernel has accepted, and the
+// server not yet, when the server drains.
+func TestRequestOnConnectionNotYetAcceptedIsAnswered(t *testing.T) {
+	hold, waiting := make(chan struct{}), make(chan struct{}, 8)
+	s := serveHooked(t, &hookedListener{onAccept: func() {
+		waiting <- struct{}{}
+		<-hold
+	}}, nil)
+	<-waiting
+	n, err := net.Dial("tcp", s.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = n.Close() }()
+	c := &client{t, n, bufio.NewReader(n)}
+	c.send()
+	go func() { _ = s.Drain(t.Context()) }()
+	// The goroutine of Serve runs again once Drain has closed the listener or waits
+	// for pending connections.
+	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
+	assert.NilError(t, n.SetReadDeadline(time.Now().Add(10*time.Second)))
+	assert.Assert(t, c.receive().Close)
+}
+
 // Guards against a drain whose cost grows with the square of the number of idle
 // connections, since it visits all of them for each that closes.
 func TestDrainVisitsEachIdleConnectionOnceAnInterval(t *testing.T) {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -33,6 +33,8 @@
 	Now      func() time.Time
 
 	serveOnce sync.Once
+	// queue accepts connections from Listener.
+	queue *queueListener
 
 	mu    sync.Mutex
 	conns map[net.Conn]*serverConn
@@ -62,6 +64,7 @@
 		HTTP: h, Listener: l, Now: time.Now,
 		conns: map[net.Conn]*serverConn{}, connClosed: make(chan struct{}),
 	}
+	s.queue = &queueListener{l, s}
 	handler, onState, onConn := h.Handler, h.ConnState, h.ConnContext
 	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n, ok := r.Context().Value(serverConnKey{}).(net.Conn); ok && s.closesAfterResponse(n) {
@@ -87,7 +90,19 @@
 // Serve accepts connections until the listener is closed. It is called at most
 // once.
 func (s *Server) Serve() {
-	s.serveOnce.Do(func() { _ = s.HTTP.Serve(s.Listener) })
+	s.serveOnce.Do(func() { _ = s.HTTP.Serve(s.queue) })
+}
+
+// stopAccepting accepts the connections that wait, closes the listener and waits for
+// the end of Serve.
+func (s *Server) stopAccepting() {
+	if s.queue.finish() {
+		defer time.AfterFunc(maxQueueTime, func() { _ = s.Listener.Close() }).Stop()
+	} else {
+		_ = s.Listener.Close()
+	}
+	s.serveOnce.Do(func() {})
+	_ = s.Listener.Close()
 }
 
 // onStateChange is the ConnState hook of the http.Server.
@@ -125,6 +140,14 @@
 	return s.keepAlivesEnded || c != nil && c.closing
 }
 
+// isClosing reports whether a connection was to be closed.
+func (s *Server) isClosing(n net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.conns[n]
+	return c != nil && c.closing
+}
+
 // Open returns the number of open connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -233,9 +256,7 @@
 // connections at once and returns the number of requests that this cuts.
 func (s *Server) Drain(ctx context.Context) (cut int) {
 	s.EndKeepAlives()
-	_ = s.Listener.Close()
-	// Waits for the end of Serve.
-	s.serveOnce.Do(func() {})
+	s.stopAccepting()
 	s.closeUnused()
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
