sidecar: do not begin a response that the end of a stop cuts

A caller got status 200 and a body that broke off when the header of a long response arrived just as the waiting requests were ended: the context of the request was over, and with it the connection that the rest of the body comes from.

Found by review.

Change: if the wait has ended by the time the response is there, and its body is not in memory, the caller gets 502.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -127,7 +127,11 @@
 	defer cancel()
 	keepContext := context.AfterFunc(s.waitingCtx, cancel)
 	a, err := s.serve(ctx, j)
-	keepContext()
+	if !keepContext() && err == nil && !isBuffered(a) {
+		// The end of ctx has closed the connection that the rest comes from.
+		_ = a.Body.Close()
+		a, err = nil, &call.OutcomeUnknown{Reason: "the node stops"}
+	}
 	record.Instances, record.Runs = j.instances, j.runs
 	if err != nil {
 		s.writeRejection(w, in, err, &record)
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -265,6 +265,11 @@
 	return &call.OutcomeUnknown{Reason: "the answer broke off", Cause: err}
 }
 
+// isBuffered reports whether the whole body of a response is in memory.
+func isBuffered(a *http.Response) bool {
+	return a.ContentLength >= 0 && a.ContentLength <= maxBufferedResponseBytes
+}
+
 // A bufferedBody is the buffered start of a body followed by its rest.
 type bufferedBody struct {
 	io.Reader
