sidecar: shorten the plan of a stop that has little time

In a deployment that kills a process 3 s or less after SIGTERM the node closed its connections as soon as it began to drain, and running requests got no response.

Found by review. No deployment that we know has less than 6 s.

Change: the durations of the plan shrink in proportion if accepting and answering take longer than the stop may.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -30,6 +30,18 @@
 	return StopPlan{AdmitFor: 2200 * time.Millisecond, AcceptFor: 2500 * time.Millisecond, AnswerMargin: 900 * time.Millisecond, KillMargin: 200 * time.Millisecond}
 }
 
+// within returns the plan with times that fit into a stop of timeout.
+func (p StopPlan) within(timeout time.Duration) StopPlan {
+	planned := p.AcceptFor + p.AnswerMargin
+	if planned <= timeout {
+		return p
+	}
+	for _, d := range []*time.Duration{&p.AdmitFor, &p.AcceptFor, &p.AnswerMargin, &p.KillMargin} {
+		*d = time.Duration(float64(*d) * float64(timeout) / float64(planned))
+	}
+	return p
+}
+
 // stopDeadlines are the deadlines of a stop that has begun.
 type stopDeadlines struct {
 	// accept is when the listeners close, answer when each request without a response
@@ -39,7 +51,7 @@
 
 // deadlines returns the deadlines of a stop that begins at a time and ends with the
 // kill of the process after timeout.
-func (p *StopPlan) deadlines(began time.Time, timeout time.Duration) *stopDeadlines {
+func (p StopPlan) deadlines(began time.Time, timeout time.Duration) *stopDeadlines {
 	return &stopDeadlines{accept: began.Add(p.AcceptFor), answer: began.Add(timeout - p.AnswerMargin), close: began.Add(timeout - p.KillMargin)}
 }
 
@@ -58,12 +70,13 @@
 // a response of the node.
 func (n *Node) stop(s *servers) {
 	began := time.Now()
-	deadlines := n.StopPlan.deadlines(began, n.Bounds.StopTimeout)
+	plan := n.StopPlan.within(n.Bounds.StopTimeout)
+	deadlines := plan.deadlines(began, n.Bounds.StopTimeout)
 	n.callerHandler.stopDeadlines.Store(deadlines)
 	n.stopping.Store(true)
 	s.callers.EndKeepAlives()
 	n.Log.Info("node stops")
-	pauseUntil(began.Add(n.StopPlan.AdmitFor))
+	pauseUntil(began.Add(plan.AdmitFor))
 	n.admissionEnded.Store(true)
 	n.admission.SetClosed(priorityadmission.Leaving)
 	s.nodes.EndKeepAlives()
