sidecar, platform: show the store's era and lost positions to operators

Callers saw changes late after the store had come back from a copy. The logs did not tell why: no line named the store's era, and a listing that was refused as stale was a Debug line.

No decision depends on the era yet. Answers of other nodes don't carry the era and count as era 0 here.

--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -48,11 +48,25 @@
 	// Source is the store or the node from which this node reads published state.
 	// It is empty for nodes that have only one source.
 	Source string `json:",omitempty"`
+	// Store is the node's position in the store of published state. It is nil for
+	// nodes that read no such store.
+	Store *StoreStatus `json:",omitempty"`
 	// Instances lists the instances of backend servers that the node knows. It is
 	// empty for nodes that do not read published instances.
 	Instances []InstanceStatus `json:",omitempty"`
 }
 
+// A StoreStatus is a node's position in the store.
+type StoreStatus struct {
+	// Era counts how often the store has come back from an earlier copy. Revision
+	// is the store's revision within the era.
+	Era      uint64
+	Revision uint64
+	// PositionsLost counts how often the store did not have the node's position
+	// any more, so that the node had to read the full state.
+	PositionsLost uint64
+}
+
 // An InstanceStatus is what a node knows about one instance of a backend server.
 type InstanceStatus struct {
 	ID      string
@@ -150,6 +164,9 @@
 	if s.Source != "" {
 		fmt.Fprintf(t, "source\t%s\n", s.Source)
 	}
+	if s.Store != nil {
+		fmt.Fprintf(t, "store\tera %d, revision %d, position lost %d times\n", s.Store.Era, s.Store.Revision, s.Store.PositionsLost)
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -282,6 +282,7 @@
 	assert.Assert(t, s.Ready && s.Version == 1 && s.Gate.State == "Open")
 	assert.Assert(t, s.ConfirmedAgeMs >= 0 && s.ConfirmedAgeMs < 2000, "%d ms", s.ConfirmedAgeMs)
 	assert.Equal(t, len(s.Instances), 2)
+	assert.Assert(t, s.Store != nil && s.Store.Revision > 0)
 	seen := false
 	for _, i := range s.Instances {
 		seen = seen || i.ObservedAgeMs >= 0
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -115,6 +115,9 @@
 	// lastAskedMs is when another node last asked this one for updates, in Unix
 	// milliseconds.
 	lastAskedMs atomic.Int64
+	// storeStatus is what operators see of this node's position in the store.
+	storeStatusMu sync.Mutex
+	storeStatus   operator.StoreStatus
 	// verifyingRemoval is set while the store is asked whether the local instance
 	// is still published.
 	verifyingRemoval atomic.Bool
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -27,6 +27,9 @@
 
 // An Update is the result of one read.
 type Update struct {
+	// Era counts how often the store has come back from an earlier copy. Each
+	// time, revisions go back and are given out again.
+	Era uint64 `cbor:"-"`
 	// Revision is the store's revision. The next watch starts from it.
 	Revision uint64 `cbor:"-"`
 	// Full states that Changes is the full state, not a difference.
@@ -91,6 +94,9 @@
 		// other nodes consider this node's state stale.
 		u, err := n.readSource(ctx, from, revision, known, watchWait-paused)
 		paused = 0
+		if err == nil && from == relay.StoreSource {
+			n.observeEra(u)
+		}
 		if err == nil && u.Full && u.Revision < revision {
 			err = ErrStale.New("full state as of revision %d is older than revision %d, which is already applied", u.Revision, revision)
 		}
@@ -101,6 +107,7 @@
 				n.holdLocalRemoval(ctx, u)
 			}
 			n.applyUpdate(u)
+			n.recordPosition(u)
 			revision, known = max(revision, u.Revision), true
 			if from != relay.StoreSource || (len(u.Changes) == 0 && u.Published == nil) {
 				batchPause = minBatchPause
@@ -109,7 +116,8 @@
 			sleep(ctx, batchPause)
 			batchPause, paused = min(2*batchPause, maxBatchPause), batchPause
 		case errorx.IsOfType(err, ErrCompacted):
-			n.Log.Info("store no longer keeps the history, reading the full state", "source", from, "after", revision)
+			n.recordPositionLost(reasonCompacted)
+			n.Log.Info("store no longer keeps the history, reading the full state", "source", sourceName(from), "after", revision)
 			known = false
 		default:
 			n.recordSourceFailure(ctx, from, err)
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -26,7 +26,7 @@
 	s := operator.Status{
 		Host: current.Host, Service: current.Service, Zone: current.Zone,
 		Stopping: n.stopping.Load(), Latencies: n.metrics.Latencies(), ConfirmedAgeMs: -1,
-		Control: operator.ControlStatus{Seconds: time.Since(n.startedAt).Seconds()},
+		Control: operator.ControlStatus{Seconds: time.Since(n.startedAt).Seconds()}, Store: n.currentStoreStatus(),
 	}
 	from, _ := n.nextSource()
 	s.Source = sourceName(from)
