sidecar, relay: a position in the store is an era and a revision

Cause: a node's position was a revision. After a restore the full listing has a lower one, and followSources refused it as stale until the revisions had passed the old one. Where they had passed it before the node read again, its watch went on from a revision that had been given out again and missed what was written in between. Nodes that read from others compared revisions in the same way, so they took the state of an earlier era for current.

Change: relay.Position is (era, revision), compared in that order. Update, Source.Watch, relay.Log and the messages between nodes carry it. A full state of a later era is applied whatever its revision; changes of another era are not applied, and the full state is read instead; everything of an earlier era is stale. A node that waits at another one learns of a new era at once. A request without an era, of an older build, is served by its revision as before; a reply without one counts as era 0, so it is read only by nodes that know no later era. relay.Position, the state of a Log, is now relay.Status.

Tests: TestChangesAfterARestoreAreInForce and TestRevisionGivenOutAgainIsNotAPosition failed before: restore_test.go:40: no version 5 at i-0 restore_test.go:62: no version 5 at i-0 Calls of Since, Reset and Watch in existing tests take a Position; their assertions are as before. The memory store of the tests now answers a watch from a revision that it does not have with ErrCompacted, as the platform's does.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -10,12 +10,16 @@
 // An UpdatesRequest asks a node for the updates that it received from the
 // platform's store.
 type UpdatesRequest struct {
-	// AfterRevision is the revision up to which the asking node has everything.
+	// AfterRevision is the revision up to which the asking node has everything of
+	// the era AfterEra.
 	AfterRevision uint64 `cbor:"1,keyasint,omitempty"`
 	// Whole asks for the complete state, whatever AfterRevision is.
 	Whole bool `cbor:"2,keyasint,omitempty"`
 	// WaitMs is how long the node may wait for an update, in milliseconds.
 	WaitMs int64 `cbor:"3,keyasint,omitempty"`
+	// AfterEra is nil in requests of nodes that know only revisions. Such nodes
+	// take AfterRevision to be of any era.
+	AfterEra *uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // An UpdatesReply holds updates in the order in which they were published.
@@ -35,4 +39,7 @@
 	WaitedMs int64 `cbor:"6,keyasint,omitempty"`
 	// EncodedUpdates are the updates, encoded by the package that sends them.
 	EncodedUpdates [][]byte `cbor:"5,keyasint,omitempty"`
+	// Era is the era of Revision. It is 0 in replies of nodes that know only
+	// revisions.
+	Era uint64 `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -17,6 +17,7 @@
 
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
 )
 
 // errStoreRejects is the error of a store that rejects nodes.
@@ -31,6 +32,7 @@
 // A memoryStore is a store in memory whose entries a test sets.
 type memoryStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	log      []Update
 	// watches counts the watches of each node.
@@ -51,6 +53,13 @@
 func (s *memoryStore) publish(p *PublishedConfig, changes ...fleet.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.write(p, changes)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write applies one write. The caller holds the mutex.
+func (s *memoryStore) write(p *PublishedConfig, changes []fleet.Change) {
 	s.revision++
 	for _, c := range changes {
 		switch c.Kind {
@@ -68,10 +77,29 @@
 		s.config = p
 	}
 	s.log = append(s.log, Update{Revision: s.revision, Changes: changes, Published: p})
+}
+
+// restore goes back to the state as of a revision, as after a return from a copy.
+func (s *memoryStore) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.log[:revision]
+	s.era++
+	s.revision, s.log, s.config, s.entries = 0, nil, nil, map[string]fleet.Change{}
+	for i := range kept {
+		s.write(kept[i].Published, kept[i].Changes)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// lastRevision returns the revision of the last write.
+func (s *memoryStore) lastRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *memoryStore) setFailure(err error, nodes ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,8 +122,8 @@
 func (s *memoryStore) source(node string) Source {
 	return Source{
 		List: func(context.Context) (*Update, error) { return s.list(node) },
-		Watch: func(ctx context.Context, after uint64, wait time.Duration) (*Update, error) {
-			return s.watch(ctx, node, after, wait)
+		Watch: func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error) {
+			return s.watch(ctx, node, after.Revision, wait)
 		},
 	}
 }
@@ -114,7 +142,7 @@
 	if err := s.errorFor(node); err != nil {
 		return nil, err
 	}
-	u := &Update{Revision: s.revision, Published: s.config}
+	u := &Update{Era: s.era, Revision: s.revision, Published: s.config}
 	for _, c := range s.entries {
 		u.Changes = append(u.Changes, c)
 	}
@@ -130,7 +158,8 @@
 	for {
 		s.mu.Lock()
 		changed, fail := s.changed, s.errorFor(node)
-		u := &Update{Revision: s.revision}
+		u := &Update{Era: s.era, Revision: s.revision}
+		compacted := after > s.revision
 		for i := range s.log {
 			if s.log[i].Revision > after {
 				u.Changes = append(u.Changes, s.log[i].Changes...)
@@ -143,6 +172,9 @@
 		if fail != nil {
 			return nil, fail
 		}
+		if compacted {
+			return nil, ErrCompacted.New("revision %d is after %d", after, u.Revision)
+		}
 		if len(u.Changes) > 0 || u.Published != nil {
 			return u, nil
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -115,9 +115,9 @@
 	// lastAskedMs is when another node last asked this one for updates, in Unix
 	// milliseconds.
 	lastAskedMs atomic.Int64
-	// storeStatus is what operators see of this node's position in the store.
-	storeStatusMu sync.Mutex
-	storeStatus   operator.StoreStatus
+	// positionsLost counts how often the store did not have this node's position
+	// any more.
+	positionsLost atomic.Uint64
 	// verifyingRemoval is set while the store is asked whether the local instance
 	// is still published.
 	verifyingRemoval atomic.Bool
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -33,8 +33,8 @@
 	maxUpdateBytes = 16 << 20
 )
 
-// ErrStale means that another node's state is not recent, or that the state read
-// from any source is older than what is already applied.
+// ErrStale means that another node's state is not recent, or that an answer of any
+// source is older than what is already applied.
 var ErrStale = namespace.NewType("stale")
 
 // errBadUpdate means that an update cannot be encoded or decoded.
@@ -71,13 +71,18 @@
 	asked := time.Now()
 	n.lastAskedMs.Store(asked.UnixMilli())
 	end := asked.Add(min(time.Duration(q.WaitMs)*time.Millisecond, maxRelayWait))
+	after := relay.Position{Era: n.updateLog.Status().Era, Revision: q.AfterRevision}
+	if q.AfterEra != nil {
+		after.Era = *q.AfterEra
+	}
 	for {
-		entries, position, ok := n.updateLog.Since(q.AfterRevision)
+		entries, status, ok := n.updateLog.Since(after)
 		out := peer.UpdatesReply{
-			Revision: position.Revision, ConfirmedAgeMs: position.Age.Milliseconds(), WaitedMs: time.Since(asked).Milliseconds(), StoreRead: n.storeRead.Load(),
+			Era: status.Era, Revision: status.Revision, ConfirmedAgeMs: status.Age.Milliseconds(), WaitedMs: time.Since(asked).Milliseconds(), StoreRead: n.storeRead.Load(),
 		}
 		switch {
-		case !out.StoreRead:
+		case !out.StoreRead, after.Era > status.Era:
+			// The asking node learns at once that it cannot read this one.
 			return out, nil
 		case q.Whole || !ok:
 			return n.fullReply(out)
@@ -88,11 +93,11 @@
 			return out, nil
 		}
 		// The reader must learn at once that this node has lost the store.
-		left := min(time.Until(end), maxRelayAge-position.Age)
+		left := min(time.Until(end), maxRelayAge-status.Age)
 		if left <= 0 {
 			return out, nil
 		}
-		if err := waitForChange(ctx, position.Changed, left); err != nil {
+		if err := waitForChange(ctx, status.Changed, left); err != nil {
 			return out, err
 		}
 	}
@@ -152,15 +157,15 @@
 		List: func(ctx context.Context) (*Update, error) {
 			return read(ctx, peer.UpdatesRequest{Whole: true})
 		},
-		Watch: func(ctx context.Context, after uint64, wait time.Duration) (*Update, error) {
-			return read(ctx, peer.UpdatesRequest{AfterRevision: after, WaitMs: min(wait, maxRelayWait).Milliseconds()})
+		Watch: func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error) {
+			return read(ctx, peer.UpdatesRequest{AfterEra: &after.Era, AfterRevision: after.Revision, WaitMs: min(wait, maxRelayWait).Milliseconds()})
 		},
 	}
 }
 
 // mergeReply combines the updates of a reply into one.
 func mergeReply(r peer.UpdatesReply, confirmedAt time.Time) (*Update, error) {
-	u := &Update{Revision: r.Revision, Full: r.Whole, ConfirmedAt: confirmedAt}
+	u := &Update{Era: r.Era, Revision: r.Revision, Full: r.Whole, ConfirmedAt: confirmedAt}
 	for _, b := range r.EncodedUpdates {
 		update, err := decodeUpdate(b)
 		if err != nil {
@@ -181,14 +186,14 @@
 	isRead := time.Since(time.UnixMilli(n.lastAskedMs.Load())) <= readerTimeout
 	switch {
 	case u.Full, !isRead && (len(u.Changes) > 0 || u.Published != nil):
-		n.updateLog.Reset(u.Revision, u.ConfirmedAt)
+		n.updateLog.Reset(u.position(), u.ConfirmedAt)
 	case len(u.Changes) == 0 && u.Published == nil:
 		n.updateLog.Confirm(u.Revision, u.ConfirmedAt)
 	default:
 		b, err := encodeUpdate(&Update{Changes: u.Changes, Published: u.Published})
 		if err != nil {
 			n.Log.Error("update cannot be encoded for other nodes, which will read the full state", "error", err)
-			n.updateLog.Reset(u.Revision, u.ConfirmedAt)
+			n.updateLog.Reset(u.position(), u.ConfirmedAt)
 			return
 		}
 		n.updateLog.Append(relay.Entry{Revision: u.Revision, Body: b}, u.ConfirmedAt)
--- a/internal/sidecar/relay_test.go
+++ b/internal/sidecar/relay_test.go
@@ -9,6 +9,7 @@
 
 	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
 )
 
 // Guards against a node that learns of the end of a store outage from another
@@ -25,7 +26,7 @@
 		source.applyUpdate(&Update{Revision: 2, ConfirmedAt: time.Now(), Changes: []fleet.Change{{Kind: fleet.ZoneOut, Zone: "north"}}})
 	})
 	asked := time.Now()
-	u, err := reader.nodeSource(l.Addr().String()).Watch(t.Context(), 1, maxRelayWait)
+	u, err := reader.nodeSource(l.Addr().String()).Watch(t.Context(), relay.Position{Revision: 1}, maxRelayWait)
 	assert.NilError(t, err)
 	assert.Equal(t, len(u.Changes), 1)
 	late := u.ConfirmedAt.Sub(asked)
@@ -41,7 +42,7 @@
 		n.applyUpdate(&Update{Revision: revision, ConfirmedAt: time.Now(), Changes: []fleet.Change{{Kind: fleet.ZoneOut, Zone: zone}}})
 	}
 	publishZoneOut("north", 2)
-	entries, _, ok := n.updateLog.Since(1)
+	entries, _, ok := n.updateLog.Since(relay.Position{Revision: 1})
 	assert.Assert(t, !ok && len(entries) == 0, "an update that nobody reads")
 	r, err := n.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 1})
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/sidecar/restore_test.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
+)
+
+// routesDocument returns a configuration with the first n test routes.
+func routesDocument(version uint64, n int) *PublishedConfig {
+	d := testDocument()
+	d.Routes = d.Routes[:n]
+	return &PublishedConfig{Version: version, Document: d}
+}
+
+func draining(c fleet.Change, sequence uint64) fleet.Change {
+	c.Instance.State, c.Instance.Sequence = fleet.Draining, sequence
+	return c
+}
+
+// Guards against a full listing from after a restore of the store that is refused
+// as stale because its revision is lower, so that later changes are not in force.
+func TestChangesAfterARestoreAreInForce(t *testing.T) {
+	m := newMesh(t, 3)
+	copied := m.store.lastRevision()
+	for range 10 {
+		m.store.publish(nil, fleet.Change{Kind: fleet.ZoneIn, Zone: "ate"})
+	}
+	m.store.publish(routesDocument(3, 3))
+	for _, n := range m.nodes {
+		waitFor(t, "version 3", func() bool { return n.snapshot.Load().Version == 3 })
+	}
+	m.store.restore(copied)
+	m.store.publish(routesDocument(5, 2), draining(m.backends[1].instanceChange("surco"), 9))
+	restored := time.Now()
+	for _, n := range m.nodes {
+		waitFor(t, "version 5 at "+n.Settings.Host, func() bool { return n.snapshot.Load().Version == 5 })
+		waitFor(t, "drain at "+n.Settings.Host, func() bool { return n.directory.View().Instances["i-1"].State == fleet.Draining })
+	}
+	assert.Assert(t, time.Since(restored) < 2*time.Second, "%s", time.Since(restored))
+}
+
+// Guards against a watch that goes on from a revision which the restored store has
+// given out again, and so misses what was written before it.
+func TestRevisionGivenOutAgainIsNotAPosition(t *testing.T) {
+	m := newMesh(t, 2)
+	copied := m.store.lastRevision()
+	m.store.publish(nil, fleet.Change{Kind: fleet.ZoneIn, Zone: "ate"})
+	seen := m.store.lastRevision()
+	for _, n := range m.nodes {
+		waitFor(t, "last revision", func() bool { return n.storeStatus().Revision == seen })
+	}
+	m.store.setFailure(errStoreRejects)
+	m.store.restore(copied)
+	m.store.publish(routesDocument(5, 2))
+	m.store.publish(nil, fleet.Change{Kind: fleet.ZoneIn, Zone: "ate"})
+	m.store.setFailure(nil)
+	for _, n := range m.nodes {
+		waitFor(t, "version 5 at "+n.Settings.Host, func() bool { return n.snapshot.Load().Version == 5 })
+	}
+}
+
+// Guards against an update that is applied although it is of another era than what
+// it is to follow, and against a full state that is refused because its revision
+// is lower.
+func TestUpdatesFollowOnWithinOneEra(t *testing.T) {
+	applied := relay.Position{Era: 2, Revision: 50}
+	for _, c := range []struct {
+		update Update
+		err    *errorx.Type
+	}{
+		{Update{Era: 2, Revision: 51}, nil},
+		{Update{Era: 2, Revision: 50}, nil},
+		{Update{Era: 2, Revision: 50, Full: true}, nil},
+		{Update{Era: 2, Revision: 49, Full: true}, ErrStale},
+		{Update{Era: 3, Revision: 10, Full: true}, nil},
+		{Update{Era: 3, Revision: 60}, ErrEraChanged},
+		{Update{Era: 1, Revision: 60, Full: true}, ErrStale},
+		{Update{Era: 1, Revision: 60}, ErrStale},
+		{Update{Revision: 60, Full: true}, ErrStale},
+	} {
+		err := checkOrder(&c.update, applied)
+		if c.err == nil {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Assert(t, errorx.IsOfType(err, c.err), "%+v: %v", c.update, err)
+	}
+}
+
+// restoredNode returns a node at era 2, revision 10, whose instance i-1 other nodes
+// have read.
+func restoredNode(t *testing.T) *Node {
+	t.Helper()
+	n := testNode(t, "127.0.0.1:9")
+	n.applyUpdate(&Update{Era: 2, Full: true, Revision: 10, ConfirmedAt: time.Now(), Published: coldDocument(), Changes: []fleet.Change{
+		instanceStarted("i-1", "127.0.0.1:10", 1000, 0),
+	}})
+	return n
+}
+
+func requestAfter(era, revision uint64, wait time.Duration) peer.UpdatesRequest {
+	return peer.UpdatesRequest{AfterEra: &era, AfterRevision: revision, WaitMs: wait.Milliseconds()}
+}
+
+// Guards against a node that hands on nothing, or the changes after an equal
+// revision, to a node that is an era behind or ahead.
+func TestNodesOfDifferentErasUnderstandEachOther(t *testing.T) {
+	n := restoredNode(t)
+	begun := time.Now()
+	for _, revision := range []uint64{5, 10, 90} {
+		r, err := n.serveUpdates(t.Context(), requestAfter(1, revision, maxRelayWait))
+		assert.NilError(t, err)
+		u, err := mergeReply(r, time.Now())
+		assert.NilError(t, err)
+		assert.Assert(t, u.Full && u.position() == relay.Position{Era: 2, Revision: 10}, "%+v", u)
+		assert.Equal(t, len(u.Changes), 1)
+		r, err = n.serveUpdates(t.Context(), requestAfter(3, revision, maxRelayWait))
+		assert.NilError(t, err)
+		u, err = mergeReply(r, time.Now())
+		assert.NilError(t, err)
+		err = checkOrder(u, relay.Position{Era: 3, Revision: revision})
+		assert.Assert(t, errorx.IsOfType(err, ErrStale), "%v", err)
+	}
+	assert.Assert(t, time.Since(begun) < maxRelayWait, "nothing to wait for")
+}
+
+// Guards against nodes of the build before eras that get the full state again and
+// again, or that are taken for current ones.
+func TestNodesWithoutErasUnderstandOthers(t *testing.T) {
+	n := restoredNode(t)
+	r, err := n.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 10, WaitMs: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !r.Whole && len(r.EncodedUpdates) == 0 && r.Revision == 10, "%+v", r)
+	r, err = n.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 9})
+	assert.NilError(t, err)
+	assert.Assert(t, r.Whole)
+	r.Era = 0
+	u, err := mergeReply(r, time.Now())
+	assert.NilError(t, err)
+	assert.NilError(t, checkOrder(u, relay.Position{}), "without the store, such a node is better than none")
+	err = checkOrder(u, relay.Position{Era: 2, Revision: 1})
+	assert.Assert(t, errorx.IsOfType(err, ErrStale), "%v", err)
+}
+
+// Guards against a waiting node that learns of a restore only at the end of its
+// wait.
+func TestWaitingNodesLearnOfARestoreAtOnce(t *testing.T) {
+	n := restoredNode(t)
+	const after = 100 * time.Millisecond
+	time.AfterFunc(after, func() {
+		n.applyUpdate(&Update{Era: 3, Full: true, Revision: 4, ConfirmedAt: time.Now(), Published: coldDocument()})
+	})
+	begun := time.Now()
+	r, err := n.serveUpdates(t.Context(), requestAfter(2, 10, maxRelayWait))
+	assert.NilError(t, err)
+	assert.Assert(t, r.Whole && r.Era == 3 && r.Revision == 4, "%+v", r)
+	assert.Assert(t, time.Since(begun) < maxRelayWait-after, "%s", time.Since(begun))
+}
+
+// Guards against a second restore that is taken for the first one, also where the
+// revision is the same.
+func TestTwoRestores(t *testing.T) {
+	m := newMesh(t, 2)
+	copied := m.store.lastRevision()
+	for i := range uint64(3) {
+		m.store.restore(copied)
+		m.store.publish(routesDocument(10+i, 2))
+		for _, n := range m.nodes {
+			waitFor(t, "version at "+n.Settings.Host, func() bool { return n.snapshot.Load().Version == 10+i })
+			waitFor(t, "era at "+n.Settings.Host, func() bool { return n.storeStatus().Era == i+1 })
+		}
+	}
+}
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -17,13 +17,20 @@
 	// List returns the full state. Changes made while the listing runs may be
 	// missing; a watch from the update's Revision returns them.
 	List func(ctx context.Context) (*Update, error)
-	// Watch returns the changes after a revision. It waits at most wait for one.
-	// The error is ErrCompacted if the store no longer keeps that history.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) (*Update, error)
+	// Watch returns the changes after a position. It waits at most wait for one.
+	// The error is ErrCompacted if the store no longer keeps that history. If the
+	// update's Era is another one than the position's, its changes do not follow
+	// on from the position.
+	Watch func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error)
 }
 
-// ErrCompacted means that the store no longer keeps the requested history.
-var ErrCompacted = namespace.NewType("compacted")
+var (
+	// ErrCompacted means that the store no longer keeps the requested history.
+	ErrCompacted = namespace.NewType("compacted")
+	// ErrEraChanged means that the store has come back from an earlier copy since
+	// the position of a watch, or while a listing ran.
+	ErrEraChanged = namespace.NewType("era_changed")
+)
 
 // An Update is the result of one read.
 type Update struct {
@@ -46,6 +53,8 @@
 	localChanges []fleet.Change
 }
 
+func (u *Update) position() relay.Position { return relay.Position{Era: u.Era, Revision: u.Revision} }
+
 // A PublishedConfig is one configuration as operators published it.
 type PublishedConfig struct {
 	Version  uint64
@@ -80,7 +89,7 @@
 
 // followSources applies updates from the selected source until ctx ends.
 func (n *Node) followSources(ctx context.Context) {
-	var revision uint64
+	var position relay.Position
 	known := false
 	// When the whole fleet starts, instances are published one after the other, so
 	// the first pause is the longest.
@@ -92,13 +101,10 @@
 		}
 		// The pause and the watch together must not exceed watchWait, after which
 		// other nodes consider this node's state stale.
-		u, err := n.readSource(ctx, from, revision, known, watchWait-paused)
+		u, err := n.readSource(ctx, from, position, known, watchWait-paused)
 		paused = 0
-		if err == nil && from == relay.StoreSource {
-			n.observeEra(u)
-		}
-		if err == nil && u.Full && u.Revision < revision {
-			err = ErrStale.New("full state as of revision %d is older than revision %d, which is already applied", u.Revision, revision)
+		if err == nil {
+			err = checkOrder(u, position)
 		}
 		switch {
 		case err == nil:
@@ -108,7 +114,10 @@
 			}
 			n.applyUpdate(u)
 			n.recordPosition(u)
-			revision, known = max(revision, u.Revision), true
+			if u.position().Compare(position) > 0 {
+				position = u.position()
+			}
+			known = true
 			if from != relay.StoreSource || (len(u.Changes) == 0 && u.Published == nil) {
 				batchPause = minBatchPause
 				continue
@@ -117,7 +126,11 @@
 			batchPause, paused = min(2*batchPause, maxBatchPause), batchPause
 		case errorx.IsOfType(err, ErrCompacted):
 			n.recordPositionLost(reasonCompacted)
-			n.Log.Info("store no longer keeps the history, reading the full state", "source", sourceName(from), "after", revision)
+			n.Log.Info("store no longer keeps the history, reading the full state", "source", sourceName(from), "era", position.Era, "after", position.Revision)
+			known = false
+		case known && errorx.IsOfType(err, ErrEraChanged):
+			n.recordPositionLost(reasonEraChanged)
+			n.Log.Info("store answers in another era, reading the full state", "source", sourceName(from), "era", position.Era, "after", position.Revision)
 			known = false
 		default:
 			n.recordSourceFailure(ctx, from, err)
@@ -125,9 +138,22 @@
 	}
 }
 
-// readSource reads the full state from a source, or the changes after a revision
+// checkOrder checks that an update follows on from the applied position. The error
+// is ErrEraChanged if only the full state would, and ErrStale if the update is
+// older.
+func checkOrder(u *Update, applied relay.Position) error {
+	switch {
+	case u.Era < applied.Era, u.Full && u.position().Compare(applied) < 0:
+		return ErrStale.New("state of era %d, revision %d is older than era %d, revision %d, which is already applied", u.Era, u.Revision, applied.Era, applied.Revision)
+	case u.Era > applied.Era && !u.Full:
+		return ErrEraChanged.New("changes of era %d do not follow on from era %d", u.Era, applied.Era)
+	}
+	return nil
+}
+
+// readSource reads the full state from a source, or the changes after a position
 // if known is set. It waits at most wait for a change.
-func (n *Node) readSource(ctx context.Context, from string, after uint64, known bool, wait time.Duration) (*Update, error) {
+func (n *Node) readSource(ctx context.Context, from string, after relay.Position, known bool, wait time.Duration) (*Update, error) {
 	s := n.Source
 	if from != relay.StoreSource {
 		s = n.nodeSource(from)
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -26,11 +26,11 @@
 	s := operator.Status{
 		Host: current.Host, Service: current.Service, Zone: current.Zone,
 		Stopping: n.stopping.Load(), Latencies: n.metrics.Latencies(), ConfirmedAgeMs: -1,
-		Control: operator.ControlStatus{Seconds: time.Since(n.startedAt).Seconds()}, Store: n.currentStoreStatus(),
+		Control: operator.ControlStatus{Seconds: time.Since(n.startedAt).Seconds()}, Store: n.storeStatus(),
 	}
 	from, _ := n.nextSource()
 	s.Source = sourceName(from)
-	if _, p, ok := n.updateLog.Since(0); ok || p.Revision > 0 {
+	if p := n.updateLog.Status(); p.Revision > 0 {
 		s.ConfirmedAgeMs = p.Age.Milliseconds()
 	}
 	l := n.admission.Load()
--- a/internal/sidecar/storeposition.go
+++ b/internal/sidecar/storeposition.go
@@ -8,23 +8,22 @@
 	reasonEraChanged = "EraChanged"
 )
 
-// observeEra reports an answer of the store that is of another era than the one
-// before.
-func (n *Node) observeEra(u *Update) {
-	n.storeStatusMu.Lock()
-	last, known := n.storeStatus.Era, n.storeStatus.Revision > 0
-	n.storeStatusMu.Unlock()
-	if known && u.Era != last {
-		n.recordPositionLost(reasonEraChanged)
-		n.Log.Warn("store answers in another era", "era", u.Era, "applied_era", last, "revision", u.Revision, "full", u.Full)
-	}
+// isRestored reports whether an update is the first full state that this node
+// reads of a later era. The caller holds updateMu.
+func (n *Node) isRestored(u *Update) bool {
+	return u.Full && n.storeRead.Load() && u.Era > n.updateLog.Status().Era
+}
+
+// logRestore reports a restore of the store after its first full state has been
+// applied.
+func (n *Node) logRestore(u *Update) {
+	applied := n.updateLog.Status()
+	n.Log.Warn("store has come back from an earlier copy", "era", u.Era, "revision", u.Revision,
+		"applied_era", applied.Era, "applied_revision", applied.Revision)
 }
 
 // recordPosition reports the position of an update that was applied.
 func (n *Node) recordPosition(u *Update) {
-	n.storeStatusMu.Lock()
-	n.storeStatus.Era, n.storeStatus.Revision = u.Era, u.Revision
-	n.storeStatusMu.Unlock()
 	n.metrics.Scope().Gauge("store_era").Update(float64(u.Era))
 	n.metrics.Scope().Gauge("store_revision").Update(float64(u.Revision))
 }
@@ -32,15 +31,11 @@
 // recordPositionLost counts the reads that ended because the store does not have
 // this node's position any more.
 func (n *Node) recordPositionLost(reason string) {
-	n.storeStatusMu.Lock()
-	n.storeStatus.PositionsLost++
-	n.storeStatusMu.Unlock()
+	n.positionsLost.Add(1)
 	n.metrics.Scope().Tagged(map[string]string{"reason": reason}).Counter("store_positions_lost").Inc(1)
 }
 
-func (n *Node) currentStoreStatus() *operator.StoreStatus {
-	n.storeStatusMu.Lock()
-	defer n.storeStatusMu.Unlock()
-	s := n.storeStatus
-	return &s
+func (n *Node) storeStatus() *operator.StoreStatus {
+	p := n.updateLog.Status()
+	return &operator.StoreStatus{Era: p.Era, Revision: p.Revision, PositionsLost: n.positionsLost.Load()}
 }
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -24,6 +24,9 @@
 	if u.localChanges != nil {
 		changes = u.localChanges
 	}
+	if n.isRestored(u) {
+		n.logRestore(u)
+	}
 	if u.Full {
 		n.directory.Replace(changes)
 		n.storeRead.Store(true)
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -2,7 +2,7 @@
 // others read those nodes.
 //
 // A node keeps the updates that it received in a Log and answers other nodes from
-// it in the same form: the full state, or the updates after a revision. Revisions
+// it in the same form: the full state, or the updates after a position. Positions
 // are the store's own on every node, so a node can switch between the store and
 // any other node without losing or repeating an update. A SourceSelector decides
 // which of them a node reads. The package opens no socket and starts no
@@ -23,7 +23,8 @@
 // the latest is useful.
 const maxLogBytes = 256 << 10
 
-// An Entry is one update in the form in which it is forwarded.
+// An Entry is one update in the form in which it is forwarded. It is of the era of
+// its log.
 type Entry struct {
 	// Revision is the store's revision after the update.
 	Revision uint64
@@ -31,7 +32,7 @@
 	Body []byte
 }
 
-// A Log holds recent updates. Its exported fields are set before the first call.
+// A Log holds recent updates of one era. Its exported fields are set before the first call.
 // It is safe for concurrent use.
 type Log struct {
 	Now func() time.Time
@@ -43,9 +44,9 @@
 	entries      []Entry
 	// bodyBytes is the total size of the bodies.
 	bodyBytes int
-	// revision is the latest confirmed revision. The store confirmed it at
+	// latest is the latest confirmed position. The store confirmed it at
 	// confirmedAt.
-	revision    uint64
+	latest      Position
 	confirmedAt time.Time
 	changed     chan struct{}
 }
@@ -54,15 +55,16 @@
 func NewLog() *Log { return &Log{Now: time.Now, changed: make(chan struct{})} }
 
 // Reset drops all updates after the node has read the full state as of the
-// revision, which the store confirmed at the given time.
-func (l *Log) Reset(revision uint64, confirmedAt time.Time) {
+// position, which the store confirmed at the given time. It is the only way to
+// another era.
+func (l *Log) Reset(p Position, confirmedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.baseRevision, l.revision, l.confirmedAt, l.entries, l.bodyBytes = revision, revision, confirmedAt, nil, 0
+	l.baseRevision, l.latest, l.confirmedAt, l.entries, l.bodyBytes = p.Revision, p, confirmedAt, nil, 0
 	l.notifyReaders()
 }
 
-// Append adds an update that the store confirmed at the given time.
+// Append adds an update of the log's era that the store confirmed at the given time.
 func (l *Log) Append(e Entry, confirmedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -78,7 +80,8 @@
 	l.notifyReaders()
 }
 
-// Confirm records that the store had no newer revision at the given time.
+// Confirm records that the store had no newer revision of the log's era at the
+// given time.
 func (l *Log) Confirm(revision uint64, confirmedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,7 +89,7 @@
 }
 
 func (l *Log) confirm(revision uint64, confirmedAt time.Time) {
-	l.revision = max(l.revision, revision)
+	l.latest.Revision = max(l.latest.Revision, revision)
 	if confirmedAt.After(l.confirmedAt) {
 		l.confirmedAt = confirmedAt
 	}
@@ -97,27 +100,38 @@
 	l.changed = make(chan struct{})
 }
 
-// A Position is the latest revision of a log and its age.
-type Position struct {
-	Revision uint64
-	// Age is the time since the store confirmed the revision.
+// A Status is the latest position of a log and its age.
+type Status struct {
+	Position
+	// Age is the time since the store confirmed the position.
 	Age time.Duration
 	// Changed is closed with the next update.
 	Changed <-chan struct{}
 }
 
-// Since returns the updates after a revision. It reports false if the log does
-// not hold all of them.
-func (l *Log) Since(revision uint64) ([]Entry, Position, bool) {
+// Since returns the updates after a position. It reports false if the log does not
+// hold all of them, as for a position of another era.
+func (l *Log) Since(after Position) ([]Entry, Status, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := Position{Revision: l.revision, Age: l.Now().Sub(l.confirmedAt), Changed: l.changed}
-	if l.confirmedAt.IsZero() || revision < l.baseRevision {
-		return nil, p, false
+	s := l.status()
+	if l.confirmedAt.IsZero() || after.Era != l.latest.Era || after.Revision < l.baseRevision {
+		return nil, s, false
 	}
 	first := len(l.entries)
-	for first > 0 && l.entries[first-1].Revision > revision {
+	for first > 0 && l.entries[first-1].Revision > after.Revision {
 		first--
 	}
-	return append([]Entry(nil), l.entries[first:]...), p, true
+	return append([]Entry(nil), l.entries[first:]...), s, true
+}
+
+// Status returns the latest position and its age.
+func (l *Log) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.status()
+}
+
+func (l *Log) status() Status {
+	return Status{Position: l.latest, Age: l.Now().Sub(l.confirmedAt), Changed: l.changed}
 }
