fleet: what a copy lacks is kept for a while, what it has from earlier is held back

Callers may get requests sent to an instance that has left, or lose instances and gain zones that are out, for as long as instances and operators take to write again after the store has come back from a copy.

Cause: the listing after a restore was applied like any other. Entries and zone marks that it lacks were removed at once after an outage shorter than MinOutage, and entries that it has counted, also where this node had seen a later entry or the removal.

Change: Directory.Restore applies the first full listing of a later era. Instances and zone marks that it lacks have ExpiryGrace, also where a first restore had begun one. An entry that is earlier by (Born, Sequence) than the known one, or not later than that of a removed instance, is held back for EntryLife (three heartbeats, in which the store drops the entry of an instance that is gone) and ExpiryGrace; then what is published counts. Entries that have no order are believed as before. Other nodes get what is published. A mark that the copy has counts at once. RemoveExpired, which now also ends this, is Expire. An outdated entry does not start a cold time. Status and the log line of the restore count what is kept and held back.

--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -65,6 +65,11 @@
 	// PositionsLost counts how often the store did not have the node's position
 	// any more, so that the node had to read the full state.
 	PositionsLost uint64
+	// Missing is the number of instances that the node still uses although their
+	// entries are missing. Outdated is the number of published entries that it
+	// does not believe because it knows later ones.
+	Missing  int
+	Outdated int
 }
 
 // An InstanceStatus is what a node knows about one instance of a backend server.
@@ -165,7 +170,8 @@
 		fmt.Fprintf(t, "source\t%s\n", s.Source)
 	}
 	if s.Store != nil {
-		fmt.Fprintf(t, "store\tera %d, revision %d, position lost %d times\n", s.Store.Era, s.Store.Revision, s.Store.PositionsLost)
+		fmt.Fprintf(t, "store\tera %d, revision %d, position lost %d times, %d missing entries kept, %d outdated entries held back\n",
+			s.Store.Era, s.Store.Revision, s.Store.PositionsLost, s.Store.Missing, s.Store.Outdated)
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -220,7 +220,7 @@
 	n.sourceSelector.Self = relay.Member{Address: s.ControlAddress, Zone: s.Zone}
 	n.callerConnections.maxOpen, n.callerConnections.now = s.MaxConnections, time.Now
 	n.directory = fleet.NewDirectory(n.Bounds.ExpiryGrace)
-	n.directory.MinOutage = n.Bounds.MinOutage
+	n.directory.MinOutage, n.directory.EntryLife = n.Bounds.MinOutage, n.Bounds.EntryLife
 	n.chooser = balance.New(s.Zone)
 	n.retryBudget = balance.NewRetryBudget()
 	n.rateLimiter = ratelimit.New(ratelimit.Tolerance{OverageRatio: n.Bounds.QuotaOverage, SlackRequests: n.Bounds.QuotaSlack})
@@ -285,7 +285,7 @@
 			return
 		case <-changed:
 		case <-t.C:
-			n.directory.RemoveExpired()
+			n.directory.Expire()
 			n.remoteNodes.pools.Sweep(time.Now().Add(-idleNodeTimeout))
 			n.callerConnections.sweep(n.callerIdleLimit())
 		}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -120,7 +120,7 @@
 func (n *Node) fullReply(out peer.UpdatesReply) (peer.UpdatesReply, error) {
 	n.updateMu.Lock()
 	u := &Update{Published: n.publishedConfig}
-	instances, v := n.directory.Published(), n.directory.View()
+	instances, zonesOut := n.directory.Published()
 	n.updateMu.Unlock()
 	for _, i := range instances {
 		if n.verifyingRemoval.Load() && i.Address == n.settings().BackendAddress {
@@ -129,7 +129,7 @@
 		}
 		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: i})
 	}
-	for zone := range v.ZonesOut {
+	for zone := range zonesOut {
 		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.ZoneOut, Zone: zone})
 	}
 	b, err := encodeUpdate(u)
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -164,6 +164,45 @@
 	assert.Assert(t, time.Since(begun) < maxRelayWait-after, "%s", time.Since(begun))
 }
 
+// Guards against an instance that has left and gets requests again after a restore,
+// and against one that the copy lacks and that gets none until it has written again.
+func TestInstancesAfterARestore(t *testing.T) {
+	m := newMesh(t, 3)
+	late := fleet.Change{Kind: fleet.InstanceSet, Instance: fleet.Instance{ID: "late", Service: "records", Zone: "ate", Address: "127.0.0.1:9", Slots: 4, Born: 7, Sequence: 1}}
+	gone := late
+	gone.Instance.ID = "gone"
+	m.store.publish(nil, gone)
+	for _, n := range m.nodes {
+		waitFor(t, "instance that will leave", func() bool { return n.directory.View().Instances["gone"] != nil })
+	}
+	copied := m.store.lastRevision()
+	m.store.publish(nil, late, draining(m.backends[1].instanceChange("surco"), 9), fleet.Change{Kind: fleet.InstanceRemoved, ID: "gone"})
+	m.store.publish(nil, fleet.Change{Kind: fleet.ZoneOut, Zone: "callao"})
+	expected := func(n *Node) bool {
+		v := n.directory.View()
+		return v.Instances["late"] != nil && v.Instances["gone"] == nil && v.Instances["i-1"].State == fleet.Draining && v.ZonesOut["callao"]
+	}
+	for _, n := range m.nodes {
+		waitFor(t, "changes before the restore", func() bool { return expected(n) })
+	}
+	m.store.restore(copied)
+	for _, n := range m.nodes {
+		waitFor(t, "restore at "+n.Settings.Host, func() bool { return n.storeStatus().Era == 1 })
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); sleep(t.Context(), 5*time.Millisecond) {
+		for _, n := range m.nodes {
+			assert.Assert(t, expected(n), "%s: %+v", n.Settings.Host, n.directory.View())
+		}
+	}
+	m.store.publish(nil, late)
+	for _, n := range m.nodes {
+		waitFor(t, "end of what is kept", func() bool {
+			v := n.directory.View()
+			return v.Instances["late"] != nil && !v.ZonesOut["callao"] && v.Instances["gone"] != nil
+		})
+	}
+}
+
 // Guards against a second restore that is taken for the first one, also where the
 // revision is the same.
 func TestTwoRestores(t *testing.T) {
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -78,6 +78,9 @@
 	ExpiryGrace time.Duration
 	// MinOutage is the shortest outage of the store in which entries expire.
 	MinOutage time.Duration
+	// EntryLife is how long the store keeps the entry of an instance that does not
+	// write it again.
+	EntryLife time.Duration
 }
 
 // DefaultBounds returns the bounds that apply where a deployment states none.
@@ -89,6 +92,7 @@
 		ColdOverage: 0.5,
 		ExpiryGrace: 2 * time.Second,
 		MinOutage:   2 * time.Second,
+		EntryLife:   4500 * time.Millisecond,
 	}
 }
 
--- a/internal/sidecar/storeposition.go
+++ b/internal/sidecar/storeposition.go
@@ -17,9 +17,9 @@
 // logRestore reports a restore of the store after its first full state has been
 // applied.
 func (n *Node) logRestore(u *Update) {
-	applied := n.updateLog.Status()
+	applied, kept := n.updateLog.Status(), n.directory.Kept()
 	n.Log.Warn("store has come back from an earlier copy", "era", u.Era, "revision", u.Revision,
-		"applied_era", applied.Era, "applied_revision", applied.Revision)
+		"applied_era", applied.Era, "applied_revision", applied.Revision, "missing", kept.Missing, "outdated", kept.Outdated, "zones", kept.Zones)
 }
 
 // recordPosition reports the position of an update that was applied.
@@ -36,6 +36,9 @@
 }
 
 func (n *Node) storeStatus() *operator.StoreStatus {
-	p := n.updateLog.Status()
-	return &operator.StoreStatus{Era: p.Era, Revision: p.Revision, PositionsLost: n.positionsLost.Load()}
+	p, kept := n.updateLog.Status(), n.directory.Kept()
+	return &operator.StoreStatus{
+		Era: p.Era, Revision: p.Revision, PositionsLost: n.positionsLost.Load(),
+		Missing: kept.Missing, Outdated: kept.Outdated,
+	}
 }
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -24,13 +24,14 @@
 	if u.localChanges != nil {
 		changes = u.localChanges
 	}
-	if n.isRestored(u) {
+	switch {
+	case n.isRestored(u):
+		n.directory.Restore(changes)
 		n.logRestore(u)
-	}
-	if u.Full {
+	case u.Full:
 		n.directory.Replace(changes)
 		n.storeRead.Store(true)
-	} else if len(changes) > 0 {
+	case len(changes) > 0:
 		n.directory.Apply(changes)
 	}
 	for i := range u.Changes {
@@ -100,11 +101,12 @@
 
 // applyPublishedCold applies the cold time that the instance at the backend
 // server's address published. Entries of earlier instances at that address may
-// arrive late and do not apply to the current one. The entry is older than what
+// arrive late and do not apply to the current one; neither does an outdated entry
+// of a restored store. The entry is older than what
 // the backend server says itself, so it never shortens a cold time.
 func (n *Node) applyPublishedCold(i *fleet.Instance) {
 	current := n.directory.View().ByAddress[i.Address]
-	if current == nil || current.ID != i.ID || current.Born != i.Born {
+	if current == nil || current.ID != i.ID || current.Born != i.Born || current.Sequence != i.Sequence {
 		return
 	}
 	if s := n.localService(); s != nil && time.Now().Add(i.ColdFor).After(n.admission.ColdUntil()) {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -35,6 +35,9 @@
 	ExpiryGrace time.Duration
 	// MinOutage is the shortest outage of the store in which entries expire.
 	MinOutage time.Duration
+	// EntryLife is how long the store keeps the entry of an instance that does not
+	// write it again.
+	EntryLife time.Duration
 
 	mu        sync.Mutex
 	instances map[string]*Instance
@@ -48,21 +51,26 @@
 	// missing holds the IDs of instances whose entry is missing, and the time at
 	// which each is removed.
 	missing map[string]time.Time
+	restored
 
 	view    atomic.Pointer[View]
 	changed chan struct{}
 }
 
-// defaultMinOutage is shorter than the time after which the entry of a silent
-// instance expires, which is several heartbeats.
-const defaultMinOutage = 2 * time.Second
+const (
+	// defaultMinOutage is shorter than the time after which the entry of a silent
+	// instance expires, which is several heartbeats.
+	defaultMinOutage = 2 * time.Second
+	// defaultEntryLife is three heartbeats.
+	defaultEntryLife = 4500 * time.Millisecond
+)
 
 // NewDirectory returns an empty directory.
 func NewDirectory(expiryGrace time.Duration) *Directory {
 	d := &Directory{
-		Now: time.Now, ExpiryGrace: expiryGrace, MinOutage: defaultMinOutage,
+		Now: time.Now, ExpiryGrace: expiryGrace, MinOutage: defaultMinOutage, EntryLife: defaultEntryLife,
 		instances: map[string]*Instance{}, zonesOut: map[string]bool{}, missing: map[string]time.Time{},
-		changed: make(chan struct{}),
+		restored: newRestored(), changed: make(chan struct{}),
 	}
 	d.updateView()
 	return d
@@ -94,8 +102,13 @@
 func (d *Directory) Replace(changes []Change) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Now()
+	d.replace(changes, d.Now())
+	d.updateView()
+}
+
+func (d *Directory) replace(changes []Change, now time.Time) {
 	listed := map[string]bool{}
+	clear(d.outdated)
 	d.zonesOut = map[string]bool{}
 	for i := range changes {
 		d.apply(&changes[i], now)
@@ -108,7 +121,6 @@
 			d.removeInstance(id, now)
 		}
 	}
-	d.updateView()
 }
 
 // Confirm records that the changes applied next are the store's state as of a
@@ -127,36 +139,40 @@
 	}
 }
 
-// Published returns the instances whose entries are published, in no particular
-// order. Missing ones that are kept after an outage are left out: a node that
-// learned of them here would not learn of their removal.
-func (d *Directory) Published() []Instance {
+// Published returns the published entries of instances, in no particular order,
+// and the zones that are published as out. What is only kept after an outage is
+// left out: a node that learned of it here would not learn of its end. Outdated
+// entries are returned as published: what a node believes depends on what it knew.
+func (d *Directory) Published() ([]Instance, map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]Instance, 0, len(d.instances))
+	all := make([]Instance, 0, len(d.instances)+len(d.outdated))
 	for id, i := range d.instances {
-		if _, missing := d.missing[id]; !missing {
+		_, missing := d.missing[id]
+		if _, outdated := d.outdated[id]; !missing && !outdated {
 			all = append(all, *i)
 		}
 	}
-	return all
+	for _, i := range d.outdated {
+		all = append(all, i)
+	}
+	return all, maps.Clone(d.zonesOut)
 }
 
-// RemoveExpired removes missing instances whose time is over. It is to be called
-// periodically.
-func (d *Directory) RemoveExpired() {
+// Expire removes missing instances and kept zones whose time is over, and applies
+// the entries that are no longer held back. It is to be called periodically.
+func (d *Directory) Expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
-	removed := false
+	expired := d.expireRestored(now)
 	for id, until := range d.missing {
 		if !now.Before(until) {
-			delete(d.missing, id)
-			delete(d.instances, id)
-			removed = true
+			d.deleteInstance(id, now)
+			expired = true
 		}
 	}
-	if removed {
+	if expired {
 		d.updateView()
 	}
 }
@@ -165,21 +181,30 @@
 	switch c.Kind {
 	case InstanceSet:
 		i := c.Instance
+		if d.isOutdated(&i, now) {
+			d.outdated[i.ID] = i
+			delete(d.missing, i.ID)
+			return
+		}
 		if known := d.instances[i.ID]; known != nil && !i.supersedes(known) {
 			return
 		}
 		d.instances[i.ID] = &i
 		delete(d.missing, i.ID)
+		delete(d.outdated, i.ID)
+		delete(d.removed, i.ID)
 	case InstanceRemoved:
 		d.removeInstance(c.ID, now)
 	case ZoneOut:
 		d.zonesOut[c.Zone] = true
 	case ZoneIn:
 		delete(d.zonesOut, c.Zone)
+		delete(d.zonesKept, c.Zone)
 	}
 }
 
 func (d *Directory) removeInstance(id string, now time.Time) {
+	delete(d.outdated, id)
 	if d.instances[id] == nil {
 		return
 	}
@@ -189,6 +214,11 @@
 		}
 		return
 	}
+	d.deleteInstance(id, now)
+}
+
+func (d *Directory) deleteInstance(id string, now time.Time) {
+	d.rememberRemoval(d.instances[id], now)
 	delete(d.instances, id)
 	delete(d.missing, id)
 }
@@ -200,6 +230,9 @@
 		Instances: maps.Clone(d.instances), ZonesOut: maps.Clone(d.zonesOut),
 		ByService: map[string][]*Instance{}, ByAddress: map[string]*Instance{},
 	}
+	for zone := range d.zonesKept {
+		v.ZonesOut[zone] = true
+	}
 	for _, i := range v.Instances {
 		v.ByService[i.Service] = append(v.ByService[i.Service], i)
 		if o := v.ByAddress[i.Address]; o == nil || i.startedAfter(o) {
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -58,10 +58,10 @@
 	assert.Equal(t, len(d.View().Instances), 2)
 	c.now = c.now.Add(time.Second)
 	d.Apply([]fleet.Change{instanceSet("a", "desk", "10.0.0.1:80", 1)})
-	d.RemoveExpired()
+	d.Expire()
 	assert.Equal(t, len(d.View().Instances), 2)
 	c.now = c.now.Add(time.Second)
-	d.RemoveExpired()
+	d.Expire()
 	assert.Assert(t, d.View().Instances["a"] != nil)
 	assert.Assert(t, d.View().Instances["b"] == nil)
 }
@@ -112,6 +112,6 @@
 	d.Apply([]fleet.Change{instanceRemoved("b")})
 	assert.Assert(t, d.View().Instances["b"] != nil)
 	c.now = c.now.Add(2 * time.Second)
-	d.RemoveExpired()
+	d.Expire()
 	assert.Assert(t, d.View().Instances["b"] == nil)
 }
--- a/pkg/fleet/instance.go
+++ b/pkg/fleet/instance.go
@@ -3,14 +3,18 @@
 //
 // An entry of the store appears and disappears with its backend server, but with
 // a delay, and it may expire while the store is down although the backend server
-// lives. A Directory applies the changes in order and decides which entries are
-// still valid. It opens no socket and starts no goroutine.
+// lives. The store may also come back from an earlier copy, whose entries say what
+// was true some time ago. A Directory applies the changes in order and decides
+// which entries are still valid. It opens no socket and starts no goroutine.
 //
 // Package hosts, in contrast, holds the host list of a deployment whose nodes
 // distribute it themselves.
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // A State is the state that a backend server publishes of itself.
 type State int
@@ -57,6 +61,16 @@
 	return true
 }
 
+// compare orders two entries of one instance by start and sequence: it returns -1,
+// 0 or 1 if i is earlier than, the same as or later than o. It reports false if an
+// entry has no start time, or neither has a sequence.
+func (i *Instance) compare(o *Instance) (int, bool) {
+	if i.Born == 0 || o.Born == 0 || (i.Born == o.Born && i.Sequence == 0 && o.Sequence == 0) {
+		return 0, false
+	}
+	return cmp.Or(cmp.Compare(i.Born, o.Born), cmp.Compare(i.Sequence, o.Sequence)), true
+}
+
 // A ChangeKind is the kind of a Change.
 type ChangeKind int
 
