sidecar: a copy's gap does not confirm the end of the local instance

Cause: a host that learns from another node that its instance is gone asks the store, and one listing without the entry counted as the store's confirmation. After a restore the copy lacks entries that were written since, and the listing may be of an era that this node has not read yet, or of an earlier one. The host then stops using its own sound instance. Found by reading.

Test: TestCopyDoesNotConfirmTheEndOfTheLocalInstance failed before: restore_test.go:245: known() && n.verifyingRemoval.Load()

--- a/internal/sidecar/localinstance.go
+++ b/internal/sidecar/localinstance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quetzaldock.example/quetzaldock/pkg/fleet"
@@ -48,14 +49,16 @@
 }
 
 // verifyLocalRemoval asks the store until it answers, and removes the local
-// instance if the store does not list it.
+// instance if the store does not list it. After a restore an answer does not count
+// until the instance has had time to write its entry again, nor does an answer of
+// another era than what is applied.
 func (n *Node) verifyLocalRemoval(ctx context.Context, local fleet.Instance) {
 	defer n.verifyingRemoval.Store(false)
 	for {
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		u, err := n.Source.List(listCtx)
 		cancel()
-		if err == nil {
+		if err == nil && u.Era == n.updateLog.Status().Era && (lists(u, &local) || !n.directory.AwaitsRewrites()) {
 			n.applyVerifiedRemoval(u, &local)
 			return
 		}
@@ -67,13 +70,16 @@
 
 // applyVerifiedRemoval removes the local instance unless the listing contains it.
 func (n *Node) applyVerifiedRemoval(u *Update, local *fleet.Instance) {
-	for i := range u.Changes {
-		if c := &u.Changes[i]; c.Kind == fleet.InstanceSet && c.Instance.ID == local.ID {
-			return
-		}
+	if lists(u, local) {
+		return
 	}
 	n.Log.Info("store confirmed that the local instance is gone, removing it", "instance", local.ID)
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
 	n.directory.Apply([]fleet.Change{{Kind: fleet.InstanceRemoved, ID: local.ID}})
 }
+
+// lists reports whether the update has an entry of the instance.
+func lists(u *Update, i *fleet.Instance) bool {
+	return slices.ContainsFunc(u.Changes, func(c fleet.Change) bool { return c.Kind == fleet.InstanceSet && c.Instance.ID == i.ID })
+}
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +219,35 @@
 		}
 	}
 }
+
+// Guards against a host that takes the gap of a copy for the confirmed end of its
+// own instance, and against an answer of another era that confirms it.
+func TestCopyDoesNotConfirmTheEndOfTheLocalInstance(t *testing.T) {
+	n := testNode(t, "127.0.0.1:9")
+	n.applyUpdate(&Update{Era: 1, Full: true, Revision: 20, ConfirmedAt: time.Now(), Published: coldDocument(), Changes: []fleet.Change{
+		instanceStarted("i-1", "127.0.0.1:9", 1000, 0),
+	}})
+	var listings atomic.Int64
+	var listed atomic.Pointer[Update]
+	listed.Store(&Update{Era: 2, Revision: 5})
+	n.Source = Source{List: func(context.Context) (*Update, error) {
+		listings.Add(1)
+		return listed.Load(), nil
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer n.background.Wait()
+	defer cancel()
+	known := func() bool { return n.directory.View().Instances["i-1"] != nil }
+	u := &Update{Era: 1, Revision: 21, Changes: []fleet.Change{{Kind: fleet.InstanceRemoved, ID: "i-1"}}}
+	n.holdLocalRemoval(ctx, u)
+	n.applyUpdate(u)
+	waitFor(t, "listing of a later era", func() bool { return listings.Load() >= 1 })
+	assert.Assert(t, known() && n.verifyingRemoval.Load())
+	u = &Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now()}
+	n.holdLocalRemoval(ctx, u)
+	n.applyUpdate(u)
+	asked := listings.Load()
+	waitFor(t, "listing after the restore", func() bool { return listings.Load() > asked+1 })
+	assert.Assert(t, known() && n.verifyingRemoval.Load())
+	waitFor(t, "end of the instance that does not write again", func() bool { return !known() })
+}
