--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -115,6 +115,9 @@
 	// lastAskedMs is when another node last asked this one for updates, in Unix
 	// milliseconds.
 	lastAskedMs atomic.Int64
+	// positionsLost counts how often the store did not have this node's position
+	// any more.
+	positionsLost atomic.Uint64
 	// verifyingRemoval is set while the store is asked whether the local instance
 	// is still published.
 	verifyingRemoval atomic.Bool
@@ -220,7 +223,7 @@
 	n.updateLog, n.controlClient = relay.NewLog(), &peer.Client{Dial: DialTCP}
 	n.sourceSelector.Self = relay.Member{Address: s.ControlAddress, Zone: s.Zone}
 	n.directory = fleet.NewDirectory(n.Bounds.ExpiryGrace)
-	n.directory.MinOutage = n.Bounds.MinOutage
+	n.directory.MinOutage, n.directory.EntryLife = n.Bounds.MinOutage, n.Bounds.EntryLife
 	n.chooser = balance.New(s.Zone)
 	n.retryBudget = balance.NewRetryBudget()
 	n.rateLimiter = ratelimit.New(ratelimit.Tolerance{OverageRatio: n.Bounds.QuotaOverage, SlackRequests: n.Bounds.QuotaSlack})
@@ -288,7 +291,7 @@
 			return
 		case <-changed:
 		case <-t.C:
-			n.directory.RemoveExpired()
+			n.directory.Expire()
 			n.remoteNodes.pools.Sweep(time.Now().Add(-idleNodeTimeout))
 			n.callers.Sweep(n.callerIdleLimit(), n.settings().MaxConnections)
 		}
