http1: test responses without end

A peer may send bytes without end in a status line, a header, interim responses, a body or the framing around a body, fast or a part at a time. The new tests play all of these with a raw TCP server. On the present code a header ends at its limit, framing at the limits of net/http, and all others at the deadline; the connection is closed each time, no goroutine is left, and one response allocates less than 8 MB in all. Nothing had to change for that.

--- /dev/null
+++ b/internal/http1/endless_test.go
@@ -0,0 +1,174 @@
+package http1_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/http1"
+)
+
+// Guards against goroutines that are left after a connection has ended.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	// streamTimeout is the deadline of requests whose response streams until it.
+	streamTimeout = 100 * time.Millisecond
+	// longTimeout is a deadline that requests do not reach.
+	longTimeout = 5 * time.Second
+	// maxAllocBytes is the most that one endless response may allocate in all.
+	maxAllocBytes = 8 << 20
+)
+
+// An endlessResponse is a response that begins with head and goes on with part,
+// repeated until the client closes the connection.
+type endlessResponse struct{ name, head, part string }
+
+const (
+	statusLine = "HTTP/1.1 200 OK\r\n"
+	chunkedEnd = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessHeaders lists responses whose header does not end.
+var endlessHeaders = []endlessResponse{
+	{"status line", "HTTP/1.1 200 ", "OK"},
+	{"header line", statusLine + "X-More: ", "x"},
+	{"header lines", statusLine, "X-More: x\r\n"},
+	{"folded header line", statusLine + "X-More: x\r\n", " x\r\n"},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"interim responses with a header", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\nX-More: x\r\n\r\n"},
+}
+
+// endlessBodies lists responses whose body does not end.
+var endlessBodies = []endlessResponse{
+	{"long length", statusLine + "Content-Length: 9000000000000000000\r\n\r\n", "x"},
+	{"until close", statusLine + "\r\n", "x"},
+	{"chunks", statusLine + chunkedEnd, "4\r\nbody\r\n"},
+	{"long chunk", statusLine + chunkedEnd + "7fffffffffffffff\r\n", "x"},
+	{"short chunk extensions", statusLine + chunkedEnd, "1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nx\r\n"},
+	{"chunk extension", statusLine + chunkedEnd + "4;x=", "x"},
+	{"chunk size", statusLine + chunkedEnd, "0"},
+	{"trailer line", statusLine + chunkedEnd + "0\r\nX-More: ", "x"},
+	{"trailer lines", statusLine + chunkedEnd + "0\r\n", "X-More: x\r\n"},
+}
+
+// newPoolToEndless returns a pool to a server that answers each request with r.
+// It sends as fast as the client reads, or a part at a time if slow is set.
+// closed gets a value each time the client has closed a connection.
+func newPoolToEndless(t *testing.T, r endlessResponse, slow bool) (p *http1.Pool, closed <-chan struct{}) {
+	t.Helper()
+	ended := make(chan struct{}, 8)
+	p = newPoolToServer(t, func(c net.Conn) {
+		defer func() { ended <- struct{}{} }()
+		_ = c.SetWriteDeadline(time.Now().Add(2 * longTimeout))
+		part := []byte(r.part)
+		if !slow {
+			part = bytes.Repeat(part, 4096/len(part)+1)
+		}
+		pace := time.NewTicker(2 * time.Millisecond)
+		defer pace.Stop()
+		_, err := io.WriteString(c, r.head)
+		for err == nil {
+			if slow {
+				<-pace.C
+			}
+			_, err = c.Write(part)
+		}
+	})
+	return p, ended
+}
+
+// awaitClosed waits until the client has closed a connection.
+func awaitClosed(t *testing.T, closed <-chan struct{}, name string) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(longTimeout):
+		t.Fatalf("%s: the connection stays open", name)
+	}
+}
+
+// allocatedBytes returns how many bytes f allocates.
+func allocatedBytes(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// readAll sends a request with a time limit and reads its response to the end.
+func readAll(t *testing.T, p *http1.Pool, timeout time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	a, err := p.Do(ctx, newGet(t, "http://x/"))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+// Guards against a header without end that uses up the memory or holds its
+// request until the deadline.
+func TestPoolEndsEndlessHeaderAtItsLimit(t *testing.T) {
+	for _, r := range endlessHeaders {
+		p, closed := newPoolToEndless(t, r, false)
+		var err error
+		n := allocatedBytes(func() { err = readAll(t, p, longTimeout) })
+		assert.Assert(t, errorx.IsOfType(err, http1.Malformed), "%s: %v", r.name, err)
+		assert.Assert(t, n < maxAllocBytes, "%s: %d bytes", r.name, n)
+		awaitClosed(t, closed, r.name)
+		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
+	}
+}
+
+// Guards against a slow header or body without end that holds its request beyond
+// the deadline or leaves its connection open.
+func TestPoolEndsSlowResponsesAtTheDeadline(t *testing.T) {
+	for _, r := range append(append([]endlessResponse{}, endlessHeaders...), endlessBodies...) {
+		p, closed := newPoolToEndless(t, r, true)
+		err := readAll(t, p, streamTimeout)
+		assert.Assert(t, errorx.IsOfType(err, http1.Expired), "%s: %v", r.name, err)
+		awaitClosed(t, closed, r.name)
+		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
+	}
+}
+
+// Guards against a body without end that uses up the memory, looks complete or
+// leaves its connection open.
+func TestPoolBoundsEndlessBodies(t *testing.T) {
+	for _, r := range endlessBodies {
+		p, closed := newPoolToEndless(t, r, false)
+		var err error
+		n := allocatedBytes(func() { err = readAll(t, p, streamTimeout) })
+		atLimit := errorx.IsOfType(err, http1.Interrupted)
+		assert.Assert(t, atLimit || errorx.IsOfType(err, http1.Expired), "%s: %v", r.name, err)
+		assert.Assert(t, n < maxAllocBytes, "%s: %d bytes", r.name, n)
+		awaitClosed(t, closed, r.name)
+		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
+	}
+}
+
+// Guards against framing without end around a body that holds its request until
+// the deadline.
+func TestPoolEndsEndlessFramingAtItsLimit(t *testing.T) {
+	for _, r := range endlessBodies {
+		switch r.name {
+		case "short chunk extensions", "chunk extension", "chunk size", "trailer line", "trailer lines":
+			p, closed := newPoolToEndless(t, r, false)
+			err := readAll(t, p, longTimeout)
+			assert.Assert(t, errorx.IsOfType(err, http1.Interrupted), "%s: %v", r.name, err)
+			awaitClosed(t, closed, r.name)
+		}
+	}
+}
