http1: reject bytes that are no response at their first byte

Callers saw 504 at their deadline when a backend server sent bytes without a line end that are no HTTP: http.ReadResponse reads a whole line before it looks at it. A repeatable request had no time left for another instance. Change: the first bytes of each response are compared with 'HTTP/', and the first other byte ends the exchange with Malformed. Test: TestPoolEndsBytesThatAreNoResponseAtOnce failed before, after its whole deadline of 1 s: 'text: http1.expired: no answer in time, cause: malformed HTTP response "xxxx...'.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -172,3 +172,21 @@
 		}
 	}
 }
+
+// Guards against bytes that cannot be a response and hold their request until the
+// deadline because no line ends.
+func TestPoolEndsBytesThatAreNoResponseAtOnce(t *testing.T) {
+	for _, r := range []endlessResponse{
+		{"text", "", "x"},
+		{"zero bytes", "", "\x00"},
+		{"other protocol", "SSH-2.0-", "x"},
+		{"after an interim response", "HTTP/1.1 100 Continue\r\n\r\n", "x"},
+		{"spaces", "", " "},
+	} {
+		p, closed := newPoolToEndless(t, r, true)
+		err := readAll(t, p, time.Second)
+		assert.Assert(t, errorx.IsOfType(err, http1.Malformed), "%s: %v", r.name, err)
+		awaitClosed(t, closed, r.name)
+		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
+	}
+}
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -25,8 +25,8 @@
 	// ClosedByPeer is an Interrupted error: the peer closed or reset the
 	// connection.
 	ClosedByPeer = Interrupted.NewSubtype("reset")
-	// Malformed is an Interrupted error: the peer switched protocols, or the
-	// header of its response exceeds maxHeaderBytes.
+	// Malformed is an Interrupted error: the peer sent bytes that are no HTTP
+	// response, switched protocols, or sent a header of over maxHeaderBytes.
 	Malformed = Interrupted.NewSubtype("malformed")
 	// Expired means that the deadline passed or the caller canceled the request
 	// after a byte of it may have been sent.
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -105,7 +105,7 @@
 	x.conn.limitedIn.limited, x.conn.limitedIn.remaining = true, maxHeaderBytes
 	defer func() { x.conn.limitedIn.limited = false }()
 	for {
-		a, err := http.ReadResponse(x.conn.reader, r)
+		a, err := x.conn.readHeader(r)
 		if err != nil && x.conn.limitedIn.remaining <= 0 {
 			return nil, Malformed.Wrap(err, "the header of the answer exceeds %d bytes", maxHeaderBytes)
 		}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -28,6 +28,8 @@
 	maxUnprobedIdle = time.Second
 	// probeTimeout is the maximum time for a probe and its response.
 	probeTimeout = 250 * time.Millisecond
+	// protocolName begins each response.
+	protocolName = "HTTP/"
 )
 
 // A Pool holds the connections to one peer. Its exported fields must be set
@@ -275,6 +277,29 @@
 	return err == nil && !a.Close
 }
 
+// readHeader reads the header of a response, which may be an interim one.
+func (c *conn) readHeader(r *http.Request) (*http.Response, error) {
+	if err := c.checkProtocol(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, r)
+}
+
+// checkProtocol fails at the first byte that cannot begin a response.
+// http.ReadResponse would wait for the end of the line.
+func (c *conn) checkProtocol() error {
+	for n := 1; n <= len(protocolName); n++ {
+		b, err := c.reader.Peek(n)
+		if err != nil {
+			return err
+		}
+		if b[n-1] != protocolName[n-1] {
+			return Malformed.New("the answer begins with %q", b)
+		}
+	}
+	return nil
+}
+
 // alive reports whether an idle connection is open and has no data to read. Data
 // on an idle connection is a TLS close notice or a protocol error.
 func (c *conn) alive() bool {
