http1: keep the bytes of a broken response out of errors

A backend server that answered with a long line that is no HTTP got that line, up to 128 KiB and quoted to up to four times that, into the error. Nodes write the error to their logs and send it to the caller's node in a header, where it can exceed the limit of a header, so that the caller's node dropped its connections to a sound node. Cause: net/http quotes the line in its error. Change: errors of the parser become a Malformed error with at most 100 bytes of their text. Test: TestPoolErrorsAreShort failed before: 'text: http1.interrupted: exchange failed, cause: malformed HTTP response "xxxx...', 100 KiB long. That the header between nodes exceeded its limit was read in the code, not played.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,3 +191,24 @@
 		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
 	}
 }
+
+// Guards against errors that hold a copy of the response, which nodes write to
+// their logs and send to each other.
+func TestPoolErrorsAreShort(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	for _, c := range []struct{ name, text string }{
+		{"text", long + "\r\n"},
+		{"version", "HTTP/" + long + "\r\n"},
+		{"status", "HTTP/1.1 " + long + "\r\n"},
+		{"header line", statusLine + long + "\r\n\r\n"},
+		{"header name", statusLine + "\x00" + long + ": x\r\n\r\n"},
+		{"length", statusLine + "Content-Length: " + long + "\r\n\r\n"},
+		{"coding", statusLine + "Transfer-Encoding: " + long + "\r\n\r\n"},
+	} {
+		p := newPoolToScript(t, c.text)
+		_, err := p.Do(context.Background(), newGet(t, "http://x/"))
+		assert.Assert(t, errorx.IsOfType(err, http1.Malformed), "%s: %.200v", c.name, err)
+		assert.Assert(t, len(err.Error()) < 300, "%s: %d bytes", c.name, len(err.Error()))
+		assert.Equal(t, p.OpenConnections(), int64(0), c.name)
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -13,6 +13,9 @@
 	"github.com/joomcode/errorx"
 )
 
+// maxErrorBytes limits the text of an error that may quote the response.
+const maxErrorBytes = 100
+
 // Do sends r once and returns the response as soon as its header has been read.
 // The body is read from the connection; closing it before its end, or the end
 // of ctx before the body's end, closes the connection.
@@ -106,11 +109,11 @@
 	defer func() { x.conn.limitedIn.limited = false }()
 	for {
 		a, err := x.conn.readHeader(r)
-		if err != nil && x.conn.limitedIn.remaining <= 0 {
-			return nil, Malformed.Wrap(err, "the header of the answer exceeds %d bytes", maxHeaderBytes)
-		}
-		if err != nil {
-			return nil, err
+		switch {
+		case err != nil && x.conn.limitedIn.remaining <= 0:
+			return nil, Malformed.New("the header of the answer exceeds %d bytes", maxHeaderBytes)
+		case err != nil:
+			return nil, shortenParseError(err)
 		}
 		if a.StatusCode == http.StatusSwitchingProtocols {
 			// No request asks for an upgrade. What follows would not be HTTP.
@@ -122,6 +125,16 @@
 	}
 }
 
+// shortenParseError returns a short Malformed error for an error of the parser of
+// net/http, whose text may hold a whole line of the response.
+func shortenParseError(err error) error {
+	var n net.Error
+	if isClosedByPeer(err) || errors.As(err, &n) || errorx.IsOfType(err, Malformed) {
+		return err
+	}
+	return Malformed.New("the answer cannot be read: %.*s", maxErrorBytes, err)
+}
+
 // classifyError returns an error whose type says whether the request may have
 // been sent. It is called after the connection was released.
 func (x *exchange) classifyError(ctx context.Context, err error) error {
