http1: close the connection at the deadline although nobody reads the body

A caller that did not read its response kept the connection to the backend server open beyond the deadline: with a body without end the backend server could go on sending until the write to the caller failed, 1 s after the deadline. Do promises that the end of the context closes the connection. Cause: the end of the context only set a deadline on the connection, and the next read closed it. Change: the end of the context also closes the connection.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -212,3 +212,19 @@
 		assert.Equal(t, p.OpenConnections(), int64(0), c.name)
 	}
 }
+
+// Guards against a connection that stays open after the deadline because nobody
+// reads the body, as for a caller that does not read.
+func TestPoolClosesConnectionOfUnreadBodyAtTheDeadline(t *testing.T) {
+	for _, r := range endlessBodies {
+		p, closed := newPoolToEndless(t, r, false)
+		ctx, cancel := context.WithCancel(context.Background())
+		a, err := p.Do(ctx, newGet(t, "http://x/"))
+		assert.NilError(t, err, r.name)
+		cancel()
+		awaitClosed(t, closed, r.name)
+		_, err = io.Copy(io.Discard, a.Body)
+		assert.Assert(t, errorx.IsOfType(err, http1.Expired), "%s: %v", r.name, err)
+		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -43,8 +43,7 @@
 		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, writesBefore: c.countedOut.writes.Load()}
-	// A deadline in the past stops all reads and writes.
-	x.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	x.stopWatchingContext = context.AfterFunc(ctx, c.abort)
 	x.send(r)
 	a, err := x.receive(r)
 	if err != nil {
@@ -61,8 +60,8 @@
 	conn *conn
 	// writesBefore is the connection's count of writes before the request.
 	writesBefore int64
-	// stopWatchingContext keeps the end of the context from stopping reads and
-	// writes on the connection. It returns false if the context has ended already.
+	// stopWatchingContext keeps the end of the context from closing the
+	// connection. It returns false if the context has ended already.
 	stopWatchingContext func() bool
 	// requestDone is closed when a request with a body was sent or failed.
 	requestDone chan struct{}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -277,6 +277,13 @@
 	return err == nil && !a.Close
 }
 
+// abort ends all reads and writes and closes the connection. Close alone could
+// wait for a peer that does not read a TLS close notice.
+func (c *conn) abort() {
+	_ = c.SetDeadline(time.Unix(1, 0))
+	_ = c.Close()
+}
+
 // readHeader reads the header of a response, which may be an interim one.
 func (c *conn) readHeader(r *http.Request) (*http.Response, error) {
 	if err := c.checkProtocol(); err != nil {
