http1: close a connection with bytes after the response at once

A backend server that went on sending after a complete response kept its connection among the idle ones until a later request took it from there. No byte of it reached another request, but the connection stayed open, and finding it counted as a connection that the backend server had closed, which is a sign of a restart. Cause: the release of a connection did not look at the bytes read beyond the response. Change: a connection with such bytes is closed at its release. Bytes that arrive later are found as before, when the connection is taken or swept. Test: TestPoolClosesConnectionWithBytesAfterTheResponse failed before: 'length: the connection stays open', after 5 s.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -228,3 +229,31 @@
 		assert.Equal(t, p.OpenConnections(), int64(0), r.name)
 	}
 }
+
+// Guards against bytes after a complete response that reach another request or
+// whose connection stays open.
+func TestPoolClosesConnectionWithBytesAfterTheResponse(t *testing.T) {
+	surplus := strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", 40)
+	for _, c := range []struct{ name, method, response string }{
+		{"length", http.MethodGet, statusLine + "Content-Length: 5\r\n\r\nright"},
+		{"chunked", http.MethodGet, statusLine + chunkedEnd + "5\r\nright\r\n0\r\n\r\n"},
+		{"no content", http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n"},
+		{"head", http.MethodHead, statusLine + "Content-Length: 5\r\n\r\n"},
+		{"interim", http.MethodGet, "HTTP/1.1 103 Early Hints\r\n\r\n" + statusLine + "Content-Length: 5\r\n\r\nright"},
+	} {
+		p, closed := newPoolToEndless(t, endlessResponse{head: c.response + surplus, part: surplus}, false)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+			r := newGet(t, "http://x/")
+			r.Method = c.method
+			a, err := p.Do(ctx, r)
+			assert.NilError(t, err, c.name)
+			b, err := io.ReadAll(a.Body)
+			assert.NilError(t, err, c.name)
+			assert.Assert(t, !strings.Contains(string(b), "other"), c.name)
+			awaitClosed(t, closed, c.name)
+			assert.Equal(t, p.OpenConnections(), int64(0), c.name)
+			cancel()
+		}
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -164,11 +164,12 @@
 }
 
 // release returns the connection to the pool if it is reusable, the whole request
-// was sent and the context has not ended; otherwise it closes the connection.
+// was sent, nothing follows the response and the context has not ended; otherwise
+// it closes the connection.
 func (x *exchange) release(reusable bool) {
 	x.once.Do(func() {
 		contextActive := x.stopWatchingContext()
-		if reusable && contextActive && x.requestSent() {
+		if reusable && contextActive && x.requestSent() && x.conn.reader.Buffered() == 0 {
 			x.pool.putIdle(x.conn)
 			return
 		}
