http1: read the response to a probe as strictly as other responses

A node that answered a probe with 'OPTIONS *' by an interim response, by 101 or by more than one response got a caller's request on the same connection, and the rest of its answer to the probe was taken for the response to that request. A header without end in that answer was read into memory for 250 ms. Cause: the probe read one header with http.ReadResponse without a limit, took an interim response for the final one, and did not look for bytes that follow. Test: TestPoolBoundsTheResponseToAProbe failed before: 'string(b) is not "right": second response: "wrong"', the same for 'interim response before the response' and 'switched protocols'; a status line without end allocated 128 MB and a header line 33 MB.

--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -1,6 +1,7 @@
 package http1_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -257,3 +258,45 @@
 		}
 	}
 }
+
+// Guards against a response without end to a probe that uses up the memory, and
+// against bytes after the response to a probe that are taken for the response to
+// the request that follows.
+func TestPoolBoundsTheResponseToAProbe(t *testing.T) {
+	wrong := statusLine + "Content-Length: 5\r\n\r\nwrong"
+	for _, c := range append(append([]endlessResponse{}, endlessHeaders...), append(endlessBodies,
+		endlessResponse{"second response", "HTTP/1.1 204 No Content\r\n\r\n", wrong},
+		endlessResponse{"interim response before the response", "HTTP/1.1 100 Continue\r\n\r\n" + wrong, wrong},
+		endlessResponse{"switched protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", wrong},
+	)...) {
+		p := newPoolToServers(t, func(r *bufio.Reader, w net.Conn) {
+			q, err := http.ReadRequest(r)
+			for err == nil && q.Method != http.MethodOptions {
+				_, _ = io.WriteString(w, statusLine+"Content-Length: 5\r\n\r\nright")
+				q, err = http.ReadRequest(r)
+			}
+			if err == nil {
+				_, err = io.WriteString(w, c.head+c.part)
+			}
+			part := bytes.Repeat([]byte(c.part), 4096/len(c.part)+1)
+			for err == nil {
+				_, err = w.Write(part)
+			}
+		})
+		p.ProbeIdle = true
+		n := allocatedBytes(func() {
+			for range 2 {
+				ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+				a, err := p.DoNonIdempotent(ctx, newGet(t, "http://x/"))
+				assert.NilError(t, err, c.name)
+				b, err := io.ReadAll(a.Body)
+				assert.NilError(t, err, c.name)
+				assert.Equal(t, string(b), "right", c.name)
+				cancel()
+				p.AgeIdle(time.Minute)
+			}
+		})
+		assert.Assert(t, n < maxAllocBytes, "%s: %d bytes", c.name, n)
+		assert.Equal(t, p.DialCount(), int64(2), c.name)
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -13,9 +13,6 @@
 	"github.com/joomcode/errorx"
 )
 
-// maxErrorBytes limits the text of an error that may quote the response.
-const maxErrorBytes = 100
-
 // Do sends r once and returns the response as soon as its header has been read.
 // The body is read from the connection; closing it before its end, or the end
 // of ctx before the body's end, closes the connection.
@@ -99,39 +96,12 @@
 	}
 }
 
-// receive skips interim responses and reads the header of the final response.
+// receive reads the header of the final response.
 func (x *exchange) receive(r *http.Request) (*http.Response, error) {
 	if !x.hasRequestBody && x.sendErr != nil {
 		return nil, x.sendErr
 	}
-	x.conn.limitedIn.limited, x.conn.limitedIn.remaining = true, maxHeaderBytes
-	defer func() { x.conn.limitedIn.limited = false }()
-	for {
-		a, err := x.conn.readHeader(r)
-		switch {
-		case err != nil && x.conn.limitedIn.remaining <= 0:
-			return nil, Malformed.New("the header of the answer exceeds %d bytes", maxHeaderBytes)
-		case err != nil:
-			return nil, shortenParseError(err)
-		}
-		if a.StatusCode == http.StatusSwitchingProtocols {
-			// No request asks for an upgrade. What follows would not be HTTP.
-			return nil, Malformed.New("the peer switches protocols unasked")
-		}
-		if a.StatusCode >= 200 {
-			return a, nil
-		}
-	}
-}
-
-// shortenParseError returns a short Malformed error for an error of the parser of
-// net/http, whose text may hold a whole line of the response.
-func shortenParseError(err error) error {
-	var n net.Error
-	if isClosedByPeer(err) || errors.As(err, &n) || errorx.IsOfType(err, Malformed) {
-		return err
-	}
-	return Malformed.New("the answer cannot be read: %.*s", maxErrorBytes, err)
+	return x.conn.readResponse(r)
 }
 
 // classifyError returns an error whose type says whether the request may have
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -27,6 +27,17 @@
 // newPoolToServer returns a pool to a server that reads one request on each
 // connection, lets respond write the response, and closes the connection.
 func newPoolToServer(t *testing.T, respond func(c net.Conn)) *http1.Pool {
+	t.Helper()
+	return newPoolToServers(t, func(r *bufio.Reader, c net.Conn) {
+		if _, err := http.ReadRequest(r); err == nil {
+			respond(c)
+		}
+	})
+}
+
+// newPoolToServers returns a pool to a server that lets serve handle each
+// connection, and closes the connection.
+func newPoolToServers(t *testing.T, serve func(r *bufio.Reader, c net.Conn)) *http1.Pool {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -39,9 +50,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					respond(c)
-				}
+				serve(bufio.NewReader(c), c)
 			}()
 		}
 	}()
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,10 +15,6 @@
 const (
 	// bufferBytes is the size of each of a connection's two buffers.
 	bufferBytes = 4 << 10
-	// maxHeaderBytes is the maximum size of a response's header, including
-	// those of interim responses. http.ReadResponse sets no limit, so that one
-	// header of a broken peer could use up the memory.
-	maxHeaderBytes = 128 << 10
 	// dialTimeout is the maximum time for opening a connection, including the TLS
 	// handshake.
 	dialTimeout = 2 * time.Second
@@ -28,8 +23,8 @@
 	maxUnprobedIdle = time.Second
 	// probeTimeout is the maximum time for a probe and its response.
 	probeTimeout = 250 * time.Millisecond
-	// protocolName begins each response.
-	protocolName = "HTTP/"
+	// maxProbeBodyBytes limits the body of the response to a probe.
+	maxProbeBodyBytes = 1 << 10
 )
 
 // A Pool holds the connections to one peer. Its exported fields must be set
@@ -258,8 +253,8 @@
 	_ = c.Close()
 }
 
-// probe sends "OPTIONS *" and reports whether a response arrives in time and
-// the connection stays open.
+// probe sends "OPTIONS *" and reports whether a short response arrives in time,
+// nothing follows it and the connection stays open.
 func (c *conn) probe() bool {
 	_ = c.SetDeadline(time.Now().Add(probeTimeout))
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
@@ -269,12 +264,12 @@
 	if err := c.writer.Flush(); err != nil {
 		return false
 	}
-	a, err := http.ReadResponse(c.reader, nil)
+	a, err := c.readResponse(nil)
 	if err != nil {
 		return false
 	}
-	_, err = io.Copy(io.Discard, a.Body)
-	return err == nil && !a.Close
+	_, err = io.CopyN(io.Discard, a.Body, maxProbeBodyBytes)
+	return errors.Is(err, io.EOF) && !a.Close && c.alive()
 }
 
 // abort ends all reads and writes and closes the connection. Close alone could
@@ -284,29 +279,6 @@
 	_ = c.Close()
 }
 
-// readHeader reads the header of a response, which may be an interim one.
-func (c *conn) readHeader(r *http.Request) (*http.Response, error) {
-	if err := c.checkProtocol(); err != nil {
-		return nil, err
-	}
-	return http.ReadResponse(c.reader, r)
-}
-
-// checkProtocol fails at the first byte that cannot begin a response.
-// http.ReadResponse would wait for the end of the line.
-func (c *conn) checkProtocol() error {
-	for n := 1; n <= len(protocolName); n++ {
-		b, err := c.reader.Peek(n)
-		if err != nil {
-			return err
-		}
-		if b[n-1] != protocolName[n-1] {
-			return Malformed.New("the answer begins with %q", b)
-		}
-	}
-	return nil
-}
-
 // alive reports whether an idle connection is open and has no data to read. Data
 // on an idle connection is a TLS close notice or a protocol error.
 func (c *conn) alive() bool {
