sidecar: test responses without end

An instance may send a body without end, bytes after a complete response, or bytes that are no response, also to a health check, and a caller may not read. The new tests play these with a backend server that writes to the raw connection, for requests that pass through one node and through two. They hold as the code is: a streamed body is cut at the deadline and does not look complete, bytes after a response reach nobody, a safe request goes to another instance, a health check ends at its time limit at the latest, and no goroutine is left.

--- /dev/null
+++ b/internal/sidecar/endless_test.go
@@ -0,0 +1,290 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+)
+
+// A stream is a response that begins with head and goes on with part, repeated
+// until the node closes the connection. It is sent as fast as the node reads, or
+// a part at a time if slow is set.
+type stream struct {
+	name, head, part string
+	slow             bool
+}
+
+const (
+	okLine     = "HTTP/1.1 200 OK\r\n"
+	errorLine  = "HTTP/1.1 500 Internal Server Error\r\n"
+	chunked    = "Transfer-Encoding: chunked\r\n\r\n"
+	longLength = "Content-Length: 9000000000000000000\r\n\r\n"
+)
+
+// serve sends the stream on the connection of w. The returned error is that of
+// the write that failed.
+func (s *stream) serve(w http.ResponseWriter) error {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	part := []byte(s.part)
+	if !s.slow {
+		part = bytes.Repeat(part, 4096/len(part)+1)
+	}
+	pace := time.NewTicker(2 * time.Millisecond)
+	defer pace.Stop()
+	_, err = io.WriteString(c, s.head)
+	for err == nil {
+		if s.slow {
+			<-pace.C
+		}
+		_, err = c.Write(part)
+	}
+	return err
+}
+
+// streamFrom makes the backend server answer with the stream. The channel gets a
+// value each time the node has closed the connection.
+func (b *backendServer) streamFrom(s stream) <-chan error {
+	closed := make(chan error, 16)
+	b.handle = func(w http.ResponseWriter, _ *http.Request) { closed <- s.serve(w) }
+	return closed
+}
+
+// awaitClosed waits until a node has closed the connection of a stream.
+func awaitClosed(t *testing.T, closed <-chan error, name string) {
+	t.Helper()
+	select {
+	case err := <-closed:
+		assert.Assert(t, err != nil, name)
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%s: the connection to the instance stays open", name)
+	}
+}
+
+// awaitIdle waits until no node holds a slot or a connection for a request.
+func (m *mesh) awaitIdle(t *testing.T, name string) {
+	t.Helper()
+	for _, n := range m.nodes {
+		waitFor(t, "free slot, "+name, func() bool { return n.admission.Load().Running == 0 })
+		waitFor(t, "closed connection, "+name, func() bool { return n.localBackend.pool.OpenConnections() == 0 })
+	}
+}
+
+// findLeaks fails the test if goroutines are left after the mesh has stopped. It
+// must be called before newMesh.
+func findLeaks(t *testing.T) {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		assert.NilError(t, goleak.Find(before))
+	})
+}
+
+// newMeshWithOneInstance returns a mesh of two nodes. Only the instance of the
+// first one gets requests, so those of the second one pass through both.
+func newMeshWithOneInstance(t *testing.T) *mesh {
+	t.Helper()
+	m := newMesh(t, 2)
+	draining := m.backends[1].instanceChange("surco")
+	draining.Instance.State = fleet.Draining
+	m.store.publish(nil, draining)
+	for _, n := range m.nodes {
+		waitFor(t, "one instance", func() bool {
+			_, second := n.chooser.Pick("desk", []string{"i-0"})
+			return !second
+		})
+	}
+	return m
+}
+
+// tryRequest sends a request whose response may be cut.
+func (m *mesh) tryRequest(t *testing.T, node int, method, path, left string) cutResponse {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+m.nodes[node].Settings.CallerAddress+path, nil)
+	if err != nil {
+		return cutResponse{err: err}
+	}
+	r.Host, r.Close = "mesh", true
+	r.Header.Set(testHeaders.RequestID, fmt.Sprintf("r%d", requests.Add(1)))
+	r.Header.Set(testHeaders.TimeLeft, left)
+	r.Header.Set(testHeaders.Key, "secret")
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return cutResponse{err: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	var start strings.Builder
+	_, err = io.CopyN(&start, a.Body, 64)
+	switch {
+	case err == nil:
+		_, err = io.Copy(io.Discard, a.Body)
+	case errors.Is(err, io.EOF):
+		err = nil
+	}
+	return cutResponse{a.StatusCode, start.String(), err}
+}
+
+// A cutResponse is what a caller received of a response that may be cut.
+type cutResponse struct {
+	status int
+	body   string
+	err    error
+}
+
+// tryAtAllNodes sends a request to each node at the same time.
+func (m *mesh) tryAtAllNodes(t *testing.T, method, path, left string) []cutResponse {
+	t.Helper()
+	all := make([]cutResponse, len(m.nodes))
+	var w sync.WaitGroup
+	for node := range m.nodes {
+		w.Go(func() { all[node] = m.tryRequest(t, node, method, path, left) })
+	}
+	w.Wait()
+	return all
+}
+
+const (
+	// shortLeft is a time left in milliseconds that streams reach, longLeft one
+	// that they must not reach.
+	shortLeft = "200"
+	longLeft  = "1400"
+)
+
+// Guards against a streamed body without end that is not cut at the deadline, or
+// that looks complete where it is cut.
+func TestEndlessBodyIsCutAtTheDeadline(t *testing.T) {
+	findLeaks(t)
+	m := newMeshWithOneInstance(t)
+	for _, s := range []stream{
+		{"length", okLine + longLength, strings.Repeat("x", 64), false},
+		{"slow length", okLine + longLength, strings.Repeat("x", 64), true},
+		{"until close", okLine + "\r\n", strings.Repeat("x", 64), false},
+		{"chunks", okLine + chunked, "4\r\nbody\r\n", false},
+		{"long chunk", okLine + chunked + "7fffffffffffffff\r\n", strings.Repeat("x", 64), false},
+		{"failure", errorLine + "\r\n", strings.Repeat("x", 64), false},
+	} {
+		closed := m.backends[0].streamFrom(s)
+		for node, a := range m.tryAtAllNodes(t, http.MethodPost, "/entry/1", shortLeft) {
+			assert.Assert(t, strings.Contains(s.head, fmt.Sprint(a.status)), "%s at node %d: %d", s.name, node, a.status)
+			assert.Assert(t, a.err != nil, "%s at node %d: the response looks complete", s.name, node)
+			awaitClosed(t, closed, s.name)
+		}
+		m.awaitIdle(t, s.name)
+	}
+}
+
+// Guards against bytes after a complete response that reach the next request.
+func TestBytesAfterAResponseReachNobody(t *testing.T) {
+	findLeaks(t)
+	m := newMeshWithOneInstance(t)
+	surplus := okLine + "Content-Length: 5\r\n\r\nother"
+	for _, head := range []string{
+		okLine + "Content-Length: 5\r\n\r\nright", okLine + chunked + "5\r\nright\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + okLine + "Content-Length: 5\r\n\r\nright",
+	} {
+		for _, slow := range []bool{false, true} {
+			closed := m.backends[0].streamFrom(stream{"surplus", head + surplus, surplus, slow})
+			for i := range 4 {
+				a := m.tryRequest(t, i%2, http.MethodPost, "/entry/1", longLeft)
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, http.StatusOK)
+				assert.Equal(t, a.body, "right")
+				awaitClosed(t, closed, head)
+			}
+		}
+	}
+	m.awaitIdle(t, "surplus")
+}
+
+// Guards against a safe request that fails although another instance could answer
+// it after bytes that are no response.
+func TestSafeRequestIsRepeatedAfterBytesThatAreNoResponse(t *testing.T) {
+	for _, s := range []stream{
+		{"fast header lines", okLine, "X-More: x\r\n", false},
+		{"slow bytes that are no response", "", "x", true},
+	} {
+		m := newMesh(t, 2)
+		var runs atomic.Int64
+		for _, b := range m.backends {
+			b.handle = func(w http.ResponseWriter, _ *http.Request) {
+				if runs.Add(1) == 1 {
+					_ = s.serve(w)
+					return
+				}
+				_, _ = io.WriteString(w, "right")
+			}
+		}
+		a := m.send(t, 0, http.MethodGet, "/list/1")
+		assert.Equal(t, a.status, http.StatusOK, s.name)
+		assert.Equal(t, a.body, "right", s.name)
+		assert.Equal(t, runs.Load(), int64(2), s.name)
+	}
+}
+
+// Guards against a caller that does not read and keeps a slot and a connection to
+// the instance after the deadline.
+func TestCallerThatDoesNotReadFreesTheSlot(t *testing.T) {
+	findLeaks(t)
+	m := newMeshWithOneInstance(t)
+	closed := m.backends[0].streamFrom(stream{"length", okLine + longLength, strings.Repeat("x", 64), false})
+	for _, n := range m.nodes {
+		c, err := net.Dial("tcp", n.Settings.CallerAddress)
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST /entry/1 HTTP/1.1\r\nHost: mesh\r\nContent-Length: 0\r\n%s: secret\r\n%s: %s\r\n\r\n", testHeaders.Key, testHeaders.TimeLeft, shortLeft)
+		assert.NilError(t, err)
+	}
+	for range m.nodes {
+		awaitClosed(t, closed, "unread response")
+	}
+	m.awaitIdle(t, "unread response")
+}
+
+// Guards against an answer without end to a health check that delays the next
+// check, keeps a connection, or ends the requests of a reachable instance.
+func TestEndlessHealthResponse(t *testing.T) {
+	findLeaks(t)
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	for _, c := range []struct {
+		stream
+		reachable bool
+	}{
+		{stream{"fast header line", okLine + "X-More: ", "x", false}, false},
+		{stream{"fast interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", false}, false},
+		{stream{"slow bytes that are no response", "", "x", true}, false},
+		{stream{"slow header", okLine, "X-More: x\r\n", true}, true},
+		{stream{"fast body", okLine + longLength, "x", false}, true},
+		{stream{"slow chunks", okLine + chunked, "4\r\nbody\r\n", true}, true},
+		{stream{"bytes after the response", okLine + "Content-Length: 0\r\n\r\n", okLine + "Content-Length: 0\r\n\r\n", false}, true},
+	} {
+		closed := make(chan error, 64)
+		health := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { closed <- c.serve(w) })
+		m.backends[0].health.Store(&health)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		assert.Equal(t, n.checkHealth(ctx), c.reachable, c.name)
+		assert.NilError(t, ctx.Err(), c.name)
+		cancel()
+		awaitClosed(t, closed, c.name)
+	}
+	m.backends[0].health.Store(nil)
+	waitFor(t, "request after the faults", func() bool { return m.send(t, 0, http.MethodGet, "/list/1").status == http.StatusOK })
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -162,6 +162,8 @@
 	listener net.Listener
 	server   *http.Server
 	handle   http.HandlerFunc
+	// health, if set, answers health checks.
+	health atomic.Pointer[http.HandlerFunc]
 
 	mu   sync.Mutex
 	runs []*http.Request
@@ -182,6 +184,9 @@
 // ServeHTTP implements http.Handler.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
+		if h := b.health.Load(); h != nil {
+			(*h)(w, r)
+		}
 		return
 	}
 	w.Header().Set(testHeaders.RequestID, r.Header.Get(testHeaders.RequestID))
