sidecar: answer 504 if the time limit passed at the node of the instance

A caller of a node got 502 NoWholeAnswer instead of 504 NoAnswerInTime when the time limit of its request passed while an instance sent a slow response, mostly if the request went through another node. Cause: the node beside the instance gets the time left in whole milliseconds, so its deadline passes first and its failure arrives before the caller's node sees the deadline; and a body that breaks off at the deadline was not told apart from one that the instance broke off. Change: an unknown outcome with less time left than another try needs counts as the end of the time limit. Test: TestSlowEndlessResponseEndsAtTheDeadline failed before: '502 (a.status int) != 504 (status int): chunks at node 0: NoWholeAnswer', in another run 'header at node 1'. TestBytesThatAreNoResponseEndTheRequestAtOnce, for fast ones, passes before and after.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -296,6 +296,10 @@
 	switch {
 	case a != nil:
 		t.failed = a.response
+	case errors.As(err, &u) && left <= minTimeLeft:
+		// The node beside the instance gets the time left in whole milliseconds, so
+		// its deadline may pass first.
+		t.unknown = &call.OutcomeUnknown{Reason: u.Reason, Cause: context.DeadlineExceeded}
 	case errors.As(err, &u):
 		t.unknown = u
 	}
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -288,3 +288,53 @@
 	m.backends[0].health.Store(nil)
 	waitFor(t, "request after the faults", func() bool { return m.send(t, 0, http.MethodGet, "/list/1").status == http.StatusOK })
 }
+
+// Guards against bytes that are no response and hold their request, slot or
+// connection until the deadline, or that are reported as not run.
+func TestBytesThatAreNoResponseEndTheRequestAtOnce(t *testing.T) {
+	findLeaks(t)
+	m := newMeshWithOneInstance(t)
+	for _, s := range []stream{
+		{"header line", okLine + "X-More: ", "x", false},
+		{"header lines", okLine, "X-More: x\r\n", false},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
+		{"no response", "", "\x00", false},
+		{"slow bytes that are no response", "", "\x00", true},
+		{"long line that is no header", okLine + strings.Repeat("\x00", 100<<10), "\r\n", true},
+		{"trailer", okLine + chunked + "4\r\nbody\r\n0\r\n", "X-More: x\r\n", false},
+		{"chunk extension", okLine + chunked + "4;", "x", false},
+	} {
+		m.expectStatus(t, s, longLeft, http.StatusBadGateway)
+	}
+}
+
+// Guards against a slow response without end that holds its request, slot or
+// connection beyond the deadline, or whose status does not tell that the time
+// limit passed.
+func TestSlowEndlessResponseEndsAtTheDeadline(t *testing.T) {
+	findLeaks(t)
+	m := newMeshWithOneInstance(t)
+	for _, s := range []stream{
+		{"header", okLine, "X-More: x\r\n", true},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", true},
+		{"chunks", okLine + chunked, "4\r\nbody\r\n", true},
+		{"trailer", okLine + chunked + "4\r\nbody\r\n0\r\n", "X-More: x\r\n", true},
+		{"body until close", okLine + "\r\n", "x", true},
+		{"short body", okLine + "Content-Length: 60000\r\n\r\n", "x", true},
+	} {
+		m.expectStatus(t, s, shortLeft, http.StatusGatewayTimeout)
+	}
+}
+
+// expectStatus lets the first instance answer with the stream and checks the
+// status that a caller of each node gets.
+func (m *mesh) expectStatus(t *testing.T, s stream, left string, status int) {
+	t.Helper()
+	closed := m.backends[0].streamFrom(s)
+	for node, a := range m.tryAtAllNodes(t, http.MethodPost, "/entry/1", left) {
+		assert.NilError(t, a.err, "%s at node %d", s.name, node)
+		assert.Equal(t, a.status, status, "%s at node %d: %s", s.name, node, a.body)
+		awaitClosed(t, closed, s.name)
+	}
+	m.awaitIdle(t, s.name)
+}
