sidecar: close a failed response that the caller does not get

Each request that an instance answered with a 5xx status and a body of over 64 KiB, and that another instance then answered, took a slot of the first instance for good, and kept the connection to it open. A few such answers close an instance to all requests; a restart of the node helped. Cause: short responses are read whole, but a longer one streams, and the dispatcher dropped the failure for the later response without closing its body, which holds the slot until it ends. Change: a failure is closed when a later one replaces it, when another instance answers, and at once if it states that the request did not run. Test: TestUnusedFailureFreesItsSlot failed before: 'time.Now().Before(end): no free slot, until close', after 10 s.

--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -58,6 +58,7 @@
 	for {
 		a, err := t.tryNext(ctx)
 		if err == nil {
+			t.setFailed(nil)
 			return a, nil
 		}
 		if !t.finishTry(ctx, err) {
@@ -290,12 +291,13 @@
 	t.job.runs = t.runs
 	var a *failedResponse
 	if errors.As(err, &a) && a.notRun {
+		_ = a.response.Body.Close()
 		return more && t.mayRetry() && t.job.body.CanResend()
 	}
 	var u *call.OutcomeUnknown
 	switch {
 	case a != nil:
-		t.failed = a.response
+		t.setFailed(a.response)
 	case errors.As(err, &u) && left <= minTimeLeft:
 		// The node beside the instance gets the time left in whole milliseconds, so
 		// its deadline may pass first.
@@ -306,6 +308,15 @@
 	return more && t.job.repeatable && t.mayRetry() && t.job.body.IsBuffered()
 }
 
+// setFailed replaces the failure that the caller gets if no try succeeds. The
+// former one is closed: its body may be long, and holds a slot until it ends.
+func (t *requestDispatch) setFailed(a *http.Response) {
+	if t.failed != nil {
+		_ = t.failed.Body.Close()
+	}
+	t.failed = a
+}
+
 // mayRetry reports whether the request may be sent to one more instance after a
 // try that was not refused. If so, it takes a retry from the budget.
 func (t *requestDispatch) mayRetry() bool {
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -338,3 +338,37 @@
 	}
 	m.awaitIdle(t, s.name)
 }
+
+// Guards against a slot and a connection that stay in use after a failure whose
+// body is not passed on, because another instance answered the request.
+func TestUnusedFailureFreesItsSlot(t *testing.T) {
+	findLeaks(t)
+	for _, s := range []stream{
+		{"until close", errorLine + "\r\n", "x", false},
+		{"length", errorLine + longLength, "x", false},
+		{"not executed", "HTTP/1.1 503 Service Unavailable\r\n" + testHeaders.NotExecuted + ": 1\r\n" + longLength, "x", false},
+	} {
+		m := newMesh(t, 2)
+		var runs atomic.Int64
+		closed := make(chan error, 16)
+		for _, b := range m.backends {
+			b.handle = func(w http.ResponseWriter, _ *http.Request) {
+				if runs.Add(1) == 1 {
+					closed <- s.serve(w)
+					return
+				}
+				_, _ = io.WriteString(w, "right")
+			}
+		}
+		for node := range m.nodes {
+			runs.Store(0)
+			a := m.tryRequest(t, node, http.MethodGet, "/list/1", longLeft)
+			assert.NilError(t, a.err, s.name)
+			assert.Equal(t, a.status, http.StatusOK, "%s: %s", s.name, a.body)
+			awaitClosed(t, closed, s.name)
+			for _, n := range m.nodes {
+				waitFor(t, "free slot, "+s.name, func() bool { return n.admission.Load().Running == 0 })
+			}
+		}
+	}
+}
