--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -8,15 +8,18 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 )
 
@@ -372,3 +375,17 @@
 		}
 	}
 }
+
+// Guards against a short update of another node that uses up the memory when it
+// is decompressed.
+func TestDecompressedUpdateIsBounded(t *testing.T) {
+	b := compressor.EncodeAll(make([]byte, 4*maxUpdateBytes), nil)
+	assert.Assert(t, len(b) < peer.MaxMessageBytes, "%d bytes", len(b))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := mergeReply(peer.UpdatesReply{StoreRead: true, EncodedUpdates: [][]byte{b}}, time.Now())
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, errorx.IsOfType(err, errBadUpdate), "%v", err)
+	n := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, n <= 3*maxUpdateBytes, "%d bytes", n)
+}
