sidecar: show the error in a test of endless bodies

On the merged tree, with the race detector at a load average of 29, one of five runs of TestEndlessBodyIsCutAtTheDeadline failed: callers of the instance's node got a closed connection in place of a status. Ten runs of the test alone passed. Not traced; the message now shows the error.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -242,7 +242,7 @@
 			assert.NilError(t, a.err)
 		case a.status == 0:
 			// A header with a length waits for the first 4 KiB of the body.
-			assert.Equal(t, s.name, "length without more")
+			assert.Equal(t, s.name, "length without more", "%v", a.err)
 		default:
 			assert.Assert(t, strings.HasPrefix(s.head, fmt.Sprintf("HTTP/1.1 %d ", a.status)), "%d", a.status)
 			assert.Assert(t, a.err != nil, "the response looks complete")
