--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -40,8 +40,7 @@
 		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, writesBefore: c.countedOut.writes.Load()}
-	// A deadline in the past stops all reads and writes.
-	x.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	x.stopWatchingContext = context.AfterFunc(ctx, c.abort)
 	x.send(r)
 	a, err := x.receive(r)
 	if err != nil {
@@ -58,8 +57,8 @@
 	conn *conn
 	// writesBefore is the connection's count of writes before the request.
 	writesBefore int64
-	// stopWatchingContext keeps the end of the context from stopping reads and
-	// writes on the connection. It returns false if the context has ended already.
+	// stopWatchingContext keeps the end of the context from closing the
+	// connection. It returns false if the context has ended already.
 	stopWatchingContext func() bool
 	// requestDone is closed when a request with a body was sent or failed.
 	requestDone chan struct{}
@@ -97,29 +96,12 @@
 	}
 }
 
-// receive skips interim responses and reads the header of the final response.
+// receive reads the header of the final response.
 func (x *exchange) receive(r *http.Request) (*http.Response, error) {
 	if !x.hasRequestBody && x.sendErr != nil {
 		return nil, x.sendErr
 	}
-	x.conn.limitedIn.limited, x.conn.limitedIn.remaining = true, maxHeaderBytes
-	defer func() { x.conn.limitedIn.limited = false }()
-	for {
-		a, err := http.ReadResponse(x.conn.reader, r)
-		if err != nil && x.conn.limitedIn.remaining <= 0 {
-			return nil, Malformed.Wrap(err, "the header of the answer exceeds %d bytes", maxHeaderBytes)
-		}
-		if err != nil {
-			return nil, err
-		}
-		if a.StatusCode == http.StatusSwitchingProtocols {
-			// No request asks for an upgrade. What follows would not be HTTP.
-			return nil, Malformed.New("the peer switches protocols unasked")
-		}
-		if a.StatusCode >= 200 {
-			return a, nil
-		}
-	}
+	return x.conn.readResponse(r)
 }
 
 // classifyError returns an error whose type says whether the request may have
@@ -152,11 +134,12 @@
 }
 
 // release returns the connection to the pool if it is reusable, the whole request
-// was sent and the context has not ended; otherwise it closes the connection.
+// was sent, nothing follows the response and the context has not ended; otherwise
+// it closes the connection.
 func (x *exchange) release(reusable bool) {
 	x.once.Do(func() {
 		contextActive := x.stopWatchingContext()
-		if reusable && contextActive && x.requestSent() {
+		if reusable && contextActive && x.requestSent() && x.conn.reader.Buffered() == 0 {
 			x.pool.putIdle(x.conn)
 			return
 		}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,10 +15,6 @@
 const (
 	// bufferBytes is the size of each of a connection's two buffers.
 	bufferBytes = 4 << 10
-	// maxHeaderBytes is the maximum size of a response's header, including
-	// those of interim responses. http.ReadResponse sets no limit, so that one
-	// header of a broken peer could use up the memory.
-	maxHeaderBytes = 128 << 10
 	// dialTimeout is the maximum time for opening a connection, including the TLS
 	// handshake.
 	dialTimeout = 2 * time.Second
@@ -28,6 +23,8 @@
 	maxUnprobedIdle = time.Second
 	// probeTimeout is the maximum time for a probe and its response.
 	probeTimeout = 250 * time.Millisecond
+	// maxProbeBodyBytes limits the body of the response to a probe.
+	maxProbeBodyBytes = 1 << 10
 )
 
 // A Pool holds the connections to one peer. Its exported fields must be set
@@ -256,8 +253,8 @@
 	_ = c.Close()
 }
 
-// probe sends "OPTIONS *" and reports whether a response arrives in time and
-// the connection stays open.
+// probe sends "OPTIONS *" and reports whether a short response arrives in time,
+// nothing follows it and the connection stays open.
 func (c *conn) probe() bool {
 	_ = c.SetDeadline(time.Now().Add(probeTimeout))
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
@@ -267,12 +264,19 @@
 	if err := c.writer.Flush(); err != nil {
 		return false
 	}
-	a, err := http.ReadResponse(c.reader, nil)
+	a, err := c.readResponse(nil)
 	if err != nil {
 		return false
 	}
-	_, err = io.Copy(io.Discard, a.Body)
-	return err == nil && !a.Close
+	_, err = io.CopyN(io.Discard, a.Body, maxProbeBodyBytes)
+	return errors.Is(err, io.EOF) && !a.Close && c.alive()
+}
+
+// abort ends all reads and writes and closes the connection. Close alone could
+// wait for a peer that does not read a TLS close notice.
+func (c *conn) abort() {
+	_ = c.SetDeadline(time.Unix(1, 0))
+	_ = c.Close()
 }
 
 // alive reports whether an idle connection is open and has no data to read. Data
