--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -156,16 +156,18 @@
 }
 
 // Idle returns the number of connections that wait for their next request.
-func (s *Server) Idle() int {
+func (s *Server) Idle() int { return s.count(http.StateIdle) }
+
+func (s *Server) count(state http.ConnState) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	idle := 0
+	n := 0
 	for _, c := range s.conns {
-		if c.state == http.StateIdle {
-			idle++
+		if c.state == state {
+			n++
 		}
 	}
-	return idle
+	return n
 }
 
 // EndKeepAlives makes the response to each further request close its connection.
@@ -238,19 +240,6 @@
 	}
 }
 
-// countActive returns the number of connections with a running request.
-func (s *Server) countActive() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	active := 0
-	for _, c := range s.conns {
-		if c.state == http.StateActive {
-			active++
-		}
-	}
-	return active
-}
-
 // Drain closes the listener, closes each connection once no request uses it, and
 // returns when all are closed. If ctx ends first, it closes the remaining
 // connections at once and returns the number of requests that this cuts.
@@ -269,7 +258,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			cut = s.countActive()
+			cut = s.count(http.StateActive)
 			_ = s.HTTP.Close()
 			return cut
 		case <-connClosed:
