sidecar: a full reply names the position of its state

A node that read another one in full at the moment of a restore could get the state of the new era under the position of the earlier one: it applied it without the grace of a restore and dropped zone marks at once.

Cause: the position was read before the lock under which the state is read.

Found by review of: TestFullReplyHasThePositionOfItsState failed on, '{2 10} != {3 4}'. Change: the position is read under the same lock.

--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -121,7 +121,10 @@
 	n.updateMu.Lock()
 	u := &Update{Published: n.publishedConfig}
 	instances, zonesOut := n.directory.Published()
+	// The state may have changed since the position was read.
+	status := n.updateLog.Status()
 	n.updateMu.Unlock()
+	out.Era, out.Revision, out.ConfirmedAgeMs = status.Era, status.Revision, status.Age.Milliseconds()
 	for _, i := range instances {
 		if n.verifyingRemoval.Load() && i.Address == n.settings().BackendAddress {
 			// Only this node keeps the instance, see holdLocalRemoval.
