sidecar: ask other nodes for their configuration in each era

A node that started while the others could not read the store, or that was cut off from them across a restore, served the copy's configuration until the operator had written the newer one again.

--- /dev/null
+++ b/internal/sidecar/otherconfigs_test.go
@@ -0,0 +1,80 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/relay"
+)
+
+// Guards against a node that starts after a restore, reads the store before the
+// others do, and serves the copy's configuration because theirs counts as stale.
+func TestStartBeforeTheOthersReadTheStoreTakesTheNewestConfiguration(t *testing.T) {
+	m := newMesh(t, 3)
+	copied := m.store.lastRevision()
+	m.store.publish(routesDocument(7, 2))
+	for _, n := range m.nodes {
+		waitFor(t, "version 7", func() bool { return n.snapshot.Load().Version == 7 })
+	}
+	m.store.setFailure(errStoreRejects, "i-0", "i-1", "i-2")
+	m.store.restore(copied)
+	for _, n := range m.nodes {
+		waitFor(t, "loss of the store", func() bool { return n.updateLog.Status().Age > 2*maxRelayAge })
+	}
+	host := nextLoopbackHost()
+	m.start(t, host, newBackendAt(t, "i-3", host))
+	started := m.nodes[3]
+	waitFor(t, "first configuration", func() bool { return started.snapshot.Load() != nil })
+	end := time.Now().Add(3 * time.Second)
+	for started.snapshot.Load().Version != 7 {
+		assert.Assert(t, time.Now().Before(end), "version %d", started.snapshot.Load().Version)
+		sleep(t.Context(), 5*time.Millisecond)
+	}
+}
+
+// Guards against a node that was cut off while a version came into force, reads the
+// store again after a restore, and keeps an older version than the nodes that it
+// reaches.
+func TestNodeCutOffAcrossARestoreTakesTheNewestConfiguration(t *testing.T) {
+	source := testNode(t, "127.0.0.1:9")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	go func() { _ = (&peer.Server{Updates: source.serveUpdates, Log: source.Log}).Serve(t.Context(), l) }()
+	source.applyUpdate(&Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now().Add(time.Hour), Published: routesDocument(7, 2)})
+	n := New(Settings{Host: "b", Service: "desk", Zone: "north", CallAddress: "127.0.0.2:1", ControlAddress: net.JoinHostPort("127.0.0.2", port), BackendAddress: "127.0.0.2:10", MaxConnections: 1})
+	n.HeaderNames = testHeaders
+	n.buildComponents()
+	defer func() { _ = n.metrics.Close() }()
+	other := instanceStarted("i-1", "127.0.0.1:9", 1000, 0)
+	other.Instance.Zone = "south"
+	var era atomic.Uint64
+	era.Store(1)
+	n.Source = Source{
+		List: func(context.Context) (*Update, error) {
+			return &Update{Era: era.Load(), Revision: 5, Published: routesDocument(1, 2), Changes: []fleet.Change{other}}, nil
+		},
+		Watch: func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error) {
+			sleep(ctx, min(wait, 20*time.Millisecond))
+			return &Update{Era: era.Load(), Revision: 5}, nil
+		},
+	}
+	n.applyUpdate(&Update{Era: 1, Full: true, Revision: 5, ConfirmedAt: time.Now(), Published: routesDocument(1, 2), Changes: []fleet.Change{other}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { n.followSources(ctx); close(done) }()
+	defer func() { cancel(); <-done; n.background.Wait() }()
+	waitFor(t, "first era", func() bool { return n.storeStatus().Era == 1 })
+	era.Store(2)
+	waitFor(t, "second era", func() bool { return n.storeStatus().Era == 2 })
+	for end := time.Now().Add(3 * time.Second); n.snapshot.Load().Version != 7; sleep(t.Context(), 5*time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "version %d", n.snapshot.Load().Version)
+	}
+}
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -112,12 +112,12 @@
 			if from != relay.StoreSource {
 				n.holdLocalRemoval(ctx, u)
 			}
-			started := !n.storeRead.Load()
 			n.applyUpdate(u)
 			n.recordPosition(u)
-			// A store that states no era has never come back from a copy.
-			if started && from == relay.StoreSource && u.Era > 0 {
-				n.background.Go(func() { n.readStartConfig(ctx) })
+			// The first state of an era may be that of a copy. A store that states no
+			// era never comes back from one.
+			if from == relay.StoreSource && u.Full && u.Era > position.Era {
+				n.background.Go(func() { n.readOtherConfigs(ctx) })
 			}
 			if u.position().Compare(position) > 0 {
 				position = u.position()
