sidecar: confirm the end of the local instance beside nodes without eras

A node that reads nodes of the build before eras, whose era is 0, kept using its local instance for good after the store had confirmed its end.

Change: the era 0 of the applied state fits every listing of the store. TestEarlierEntryOfACopyDoesNotExtendTheColdTime guards what was right.

--- a/internal/sidecar/localinstance.go
+++ b/internal/sidecar/localinstance.go
@@ -58,7 +58,7 @@
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		u, err := n.Source.List(listCtx)
 		cancel()
-		if err == nil && u.Era == n.updateLog.Status().Era && (lists(u, &local) || !n.directory.AwaitsRewrites()) {
+		if err == nil && n.isAppliedEra(u) && (lists(u, &local) || !n.directory.AwaitsRewrites()) {
 			n.applyVerifiedRemoval(u, &local)
 			return
 		}
@@ -68,6 +68,13 @@
 	}
 }
 
+// isAppliedEra reports whether an update is of the era that is applied. A state that
+// came from a node of the build before eras has the era 0.
+func (n *Node) isAppliedEra(u *Update) bool {
+	applied := n.updateLog.Status().Era
+	return applied == 0 || u.Era == applied
+}
+
 // applyVerifiedRemoval removes the local instance unless the listing contains it.
 func (n *Node) applyVerifiedRemoval(u *Update, local *fleet.Instance) {
 	if lists(u, local) {
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -273,3 +273,18 @@
 		assert.Equal(t, n.snapshot.Load().Version, uint64(7))
 	}
 }
+
+// Guards against a warm instance that is limited as cold because a copy has its entry
+// from just after its start.
+func TestEarlierEntryOfACopyDoesNotExtendTheColdTime(t *testing.T) {
+	const address = "127.0.0.1:9"
+	n := testNode(t, address)
+	entry := instanceStarted("i-1", address, 1000, 0)
+	entry.Instance.Sequence = 9
+	n.applyUpdate(&Update{Era: 1, Full: true, Revision: 20, ConfirmedAt: time.Now(), Published: coldDocument(), Changes: []fleet.Change{entry}})
+	until := n.admission.ColdUntil()
+	earlier := instanceStarted("i-1", address, 1000, time.Minute)
+	earlier.Instance.Sequence = 1
+	n.applyUpdate(&Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now(), Changes: []fleet.Change{earlier}})
+	assert.Equal(t, n.admission.ColdUntil(), until)
+}
