--- a/internal/sidecar/otherconfigs_test.go
+++ b/internal/sidecar/otherconfigs_test.go
@@ -61,7 +61,7 @@
 		List: func(context.Context) (*Update, error) {
 			return &Update{Era: era.Load(), Revision: 5, Published: routesDocument(1, 2), Changes: []fleet.Change{other}}, nil
 		},
-		Watch: func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error) {
+		Watch: func(ctx context.Context, _ relay.Position, wait time.Duration) (*Update, error) {
 			sleep(ctx, min(wait, 20*time.Millisecond))
 			return &Update{Era: era.Load(), Revision: 5}, nil
 		},
