call: close the connection if a body was not read to its end

Callers saw: the late body of a refused request was served as a request of its own. A POST that was refused with 401 and whose body reads like a GET with a valid key was answered with 401 and then with 200. A caller whose body came late had its connection out of step.

Cause: Release lets net/http fail on the rest of the body, but net/http ignores that error for a full-duplex request, and looks for an unread body only in its own type. The connection became idle and the rest of the body was read as the next request.

Change: the response is written to DuplexBody.ResponseWriter, which sets Connection: close if the body has not ended when the header is written. A handler that refuses a request calls DiscardBody first, which reads a short rest that arrives within 20 ms, so that the connection of a caller whose body is there stays open. The body of a response that comes from a backend server is not touched: it may still be read. A request with Expect is refused without asking for its body. The refusal of a body that is late now comes up to 20 ms later. The refusals of sidecar have a length, so that they are complete by then.

--- a/internal/call/duplexbody.go
+++ b/internal/call/duplexbody.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -9,19 +8,30 @@
 )
 
 const (
-	// maxDiscardBytes and discardTimeout bound how much of a body Release reads
-	// and discards, and for how long.
+	// maxDiscardBytes and discardTimeout bound how much of a body is read and
+	// discarded at once, and for how long.
 	maxDiscardBytes = 64 << 10
 	discardTimeout  = 20 * time.Millisecond
+	// closeDelay is how long a client that sends a long body has to read the
+	// response before the connection is closed, as in net/http.
+	closeDelay = 500 * time.Millisecond
 )
 
 // A DuplexBody is the body of an incoming request that another goroutine may
 // read while the handler writes the response. After Release no read reaches the
 // connection: net/http panics if the body of a full-duplex request is read
 // while it waits for the next request on the connection.
+//
+// net/http does not notice that the body of a full-duplex request was not read to
+// its end, and would serve the rest as the next request. The response is
+// therefore written to ResponseWriter, which closes the connection in that case.
 type DuplexBody struct {
 	r io.ReadCloser
-	w http.ResponseWriter
+	w responseWriter
+	// size is the size of the body, or -1 if it is not known.
+	size int64
+	// expectsContinue is set if the client sends the body only once it is read.
+	expectsContinue bool
 
 	// readLock is held during a read.
 	readLock sync.Mutex
@@ -31,6 +41,8 @@
 	released bool
 	// ended is set once the body was read to its end.
 	ended bool
+	// failed is set once a read failed before the end of the body.
+	failed bool
 	// deadlineSet is set while a read deadline of SetDeadline is in force.
 	deadlineSet bool
 }
@@ -38,30 +50,55 @@
 // NewDuplexBody makes the request full duplex and replaces its body with a
 // DuplexBody. It leaves a request without a body unchanged.
 func NewDuplexBody(w http.ResponseWriter, r *http.Request) *DuplexBody {
-	b := &DuplexBody{r: r.Body, w: w, ended: r.ContentLength == 0}
+	b := &DuplexBody{
+		r: r.Body, size: r.ContentLength, ended: r.ContentLength == 0,
+		expectsContinue: r.Header.Get("Expect") != "",
+	}
+	b.w = responseWriter{ResponseWriter: w, body: b}
 	if !b.ended {
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = b.controller().EnableFullDuplex()
 		r.Body = b
 	}
 	return b
 }
 
+// ResponseWriter returns the writer for the response to the request. It must be
+// used instead of the one that was given to NewDuplexBody.
+func (b *DuplexBody) ResponseWriter() http.ResponseWriter {
+	if b.size == 0 {
+		return b.w.ResponseWriter
+	}
+	return &b.w
+}
+
+func (b *DuplexBody) controller() *http.ResponseController {
+	return http.NewResponseController(b.w.ResponseWriter)
+}
+
 // Read implements io.Reader.
 func (b *DuplexBody) Read(p []byte) (int, error) {
 	b.readLock.Lock()
 	defer b.readLock.Unlock()
-	if b.isReleased() {
+	b.mu.Lock()
+	released := b.released
+	b.mu.Unlock()
+	if released {
 		return 0, http.ErrBodyReadAfterClose
 	}
+	return b.read(p)
+}
+
+// read reads from the connection. The caller holds readLock.
+func (b *DuplexBody) read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
 	if err != nil {
 		b.mu.Lock()
-		b.ended = err == io.EOF
+		b.ended, b.failed = err == io.EOF, err != io.EOF
 		if b.ended && b.deadlineSet {
 			// After the body, net/http reads from the connection to notice when
 			// the client closes it. It would take a read timeout for a close.
 			b.deadlineSet = false
-			_ = http.NewResponseController(b.w).SetReadDeadline(time.Time{})
+			_ = b.controller().SetReadDeadline(time.Time{})
 		}
 		b.mu.Unlock()
 	}
@@ -75,23 +112,59 @@
 	defer b.mu.Unlock()
 	if !b.ended {
 		b.deadlineSet = true
-		_ = http.NewResponseController(b.w).SetReadDeadline(deadline)
+		_ = b.controller().SetReadDeadline(deadline)
 	}
 }
 
 // Close implements io.Closer. It does nothing: net/http closes the body.
 func (b *DuplexBody) Close() error { return nil }
 
-func (b *DuplexBody) isReleased() bool {
+func (b *DuplexBody) hasEnded() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.released
+	return b.ended
+}
+
+// restRemains reports whether a read may return more of the body.
+func (b *DuplexBody) restRemains() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.ended && !b.failed
+}
+
+// DiscardBody ends all reading of a DuplexBody. It is called before a response
+// that does not come from a backend server is written: if the rest of the body is
+// short and arrives soon, it is read and discarded, so that the response need not
+// close the connection.
+func DiscardBody(r *http.Request) {
+	b, ok := r.Body.(*DuplexBody)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	b.released = true
+	discard := !b.ended && !b.failed && !b.expectsContinue && b.size <= maxDiscardBytes
+	b.mu.Unlock()
+	if discard && b.readLock.TryLock() {
+		defer b.readLock.Unlock()
+		b.discard()
+	}
+}
+
+// discard reads a short rest of the body. The caller holds readLock.
+func (b *DuplexBody) discard() {
+	b.SetDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, connectionReader{b}, maxDiscardBytes)
 }
 
-// Release ends all reading. It must be called before the handler returns. If
-// the rest of the body is short, Release reads it, so that the connection can be
-// reused. If the rest is long or a read is waiting for the client, the
-// connection is closed after the response.
+// A connectionReader reads a body whose readLock is held.
+type connectionReader struct{ b *DuplexBody }
+
+// Read implements io.Reader.
+func (r connectionReader) Read(p []byte) (int, error) { return r.b.read(p) }
+
+// Release ends all reading. It must be called before the handler returns. If the
+// body has not ended, the connection is closed after the response.
 func (b *DuplexBody) Release() {
 	b.mu.Lock()
 	b.released = true
@@ -100,18 +173,63 @@
 	if ended {
 		return
 	}
-	c := http.NewResponseController(b.w)
 	if !b.readLock.TryLock() {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = b.controller().SetReadDeadline(time.Unix(1, 0))
 		b.readLock.Lock()
 	}
 	defer b.readLock.Unlock()
-	_ = c.Flush()
-	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
-	n, err := io.CopyN(io.Discard, b.r, maxDiscardBytes)
-	if err == nil || !errors.Is(err, io.EOF) || n == maxDiscardBytes {
-		// If net/http reached the end of the body after the handler returned, it
-		// would start to wait for the next request a second time and panic.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = b.w.FlushError()
+	// Unread bytes turn the close into a reset. A client that is still sending may
+	// lose the response by it, so it gets time to read the response first.
+	wait := time.After(closeDelay)
+	b.discard()
+	if b.restRemains() {
+		<-wait
 	}
+	if !b.hasEnded() {
+		// net/http reads the rest of the body after the handler has returned. It
+		// must not wait for it.
+		_ = b.controller().SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// A responseWriter makes the response close the connection if the body has not
+// ended when the header is written.
+type responseWriter struct {
+	http.ResponseWriter
+	body          *DuplexBody
+	headerWritten bool
 }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	interim := status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+	if !interim && !w.headerWritten {
+		w.headerWritten = true
+		if !w.body.hasEnded() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.writeDefaultHeader()
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError is called by http.ResponseController.
+func (w *responseWriter) FlushError() error {
+	w.writeDefaultHeader()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *responseWriter) writeDefaultHeader() {
+	if !w.headerWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/call/duplexbody_test.go
+++ b/internal/call/duplexbody_test.go
@@ -16,10 +16,12 @@
 
 // Guards against a panic in net/http when a handler answers a full-duplex
 // request without having read its body, as each refusal does.
-func TestBodyReleaseReadsShortRest(t *testing.T) {
+func TestDiscardBodyReadsShortRest(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer call.NewDuplexBody(w, r).Release()
-		w.WriteHeader(http.StatusServiceUnavailable)
+		b := call.NewDuplexBody(w, r)
+		defer b.Release()
+		call.DiscardBody(r)
+		b.ResponseWriter().WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer s.Close()
 	c, err := net.Dial("tcp", s.Listener.Addr().String())
@@ -42,7 +44,8 @@
 func TestBodyReleaseEndsReading(t *testing.T) {
 	ended := make(chan error, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer call.NewDuplexBody(w, r).Release()
+		b := call.NewDuplexBody(w, r)
+		defer b.Release()
 		started := make(chan struct{})
 		go func() {
 			close(started)
@@ -50,7 +53,7 @@
 			ended <- err
 		}()
 		<-started
-		w.WriteHeader(http.StatusNoContent)
+		b.ResponseWriter().WriteHeader(http.StatusNoContent)
 	}))
 	defer s.Close()
 	c, err := net.Dial("tcp", s.Listener.Addr().String())
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -120,13 +120,14 @@
 	// would wait for the rest of the body before it sends the refusal.
 	b := call.NewDuplexBody(w, r)
 	defer b.Release()
+	s.ResponseWriter = b.ResponseWriter()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	c, route, err := h.parseCall(r, startedAt)
 	if route != nil {
 		o.Account, o.Route = c.Account, route.Prefix
 	}
 	if err != nil {
-		writeError(s, err)
+		writeError(s, r, err)
 		return
 	}
 	if c.Depth == 0 {
@@ -136,7 +137,7 @@
 			s.Header().Set("Connection", "close")
 		}
 		if h.concurrentCalls.Add(1) > int64(h.maxConcurrentCalls()) || overLimit {
-			writeError(s, &call.NotRun{Reason: string(fairadmission.Overloaded)})
+			writeError(s, r, &call.NotRun{Reason: string(fairadmission.Overloaded)})
 			return
 		}
 	}
@@ -160,13 +161,13 @@
 // serve charges the call to its account, runs it and writes the response.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, c call.Call) {
 	if c.Account != "" && c.Depth == 0 && !h.Charge(ctx, c.Account, c.Deadline) {
-		writeError(w, &Rejection{Status: http.StatusTooManyRequests, Reason: "RateExceeded"})
+		writeError(w, r, &Rejection{Status: http.StatusTooManyRequests, Reason: "RateExceeded"})
 		return
 	}
 	a, err := h.Dispatcher.Do(ctx, c, r)
 	if err != nil {
 		h.reportNestedFailure(r, c)
-		writeError(w, err)
+		writeError(w, r, err)
 		return
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -323,7 +324,8 @@
 
 // writeError writes the response of a request that was refused or failed with
 // err.
-func writeError(w http.ResponseWriter, err error) {
+func writeError(w http.ResponseWriter, r *http.Request, err error) {
+	call.DiscardBody(r)
 	var j *Rejection
 	var b *call.IncompleteBody
 	if errors.As(err, &b) {
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -1,10 +1,13 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -163,6 +166,42 @@
 	assert.Equal(t, a.StatusCode, 401, body)
 }
 
+// Guards against the body of a refused request that arrives after the response and
+// is served as a request of its own.
+func TestHandlerDoesNotServeLateBodies(t *testing.T) {
+	x := newTestHandler(t)
+	x.addLocalHost(respondOK)
+	states := make(chan http.ConnState, 8)
+	s := httptest.NewUnstartedServer(x.Handler)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle || state == http.StateClosed {
+			states <- state
+		}
+	}
+	s.Start()
+	defer s.Close()
+	const late = "GET /public HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d", len(late)), "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /entries HTTP/1.1\r\nHost: x\r\n"+framing+"\r\n\r\n")
+		assert.NilError(t, err)
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		in := bufio.NewReader(c)
+		a, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, a.Body)
+		assert.Equal(t, a.StatusCode, 401)
+		state := <-states
+		_, _ = io.WriteString(c, late)
+		if a, err := http.ReadResponse(in, nil); err == nil {
+			t.Errorf("%s: the body was answered with status %d", framing, a.StatusCode)
+		}
+		assert.Equal(t, state, http.StateClosed, framing)
+	}
+}
+
 // Guards against an incomplete body that reaches a backend server, and against
 // a stalled body that occupies its handler past the deadline.
 func TestHandlerRefusesIncompleteBodies(t *testing.T) {
--- a/internal/peercall/peercall_test.go
+++ b/internal/peercall/peercall_test.go
@@ -124,6 +124,41 @@
 	assert.Equal(t, ran, 0)
 }
 
+// Guards against the body of a refused call that arrives after the response and
+// is served as a call of its own.
+func TestServerDoesNotServeLateBodies(t *testing.T) {
+	h := newServer(func(call.Call, *http.Request) (*http.Response, error) { return newResponse(200, "ok"), nil })
+	states := make(chan http.ConnState, 8)
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle || state == http.StateClosed {
+			states <- state
+		}
+	}
+	s.Start()
+	defer s.Close()
+	const late = "GET /public HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d", len(late)), "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /entries HTTP/1.1\r\nHost: x\r\n"+framing+"\r\n\r\n")
+		assert.NilError(t, err)
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		in := bufio.NewReader(c)
+		a, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, a.Body)
+		assert.Equal(t, a.StatusCode, 400)
+		state := <-states
+		_, _ = io.WriteString(c, late)
+		if a, err := http.ReadResponse(in, nil); err == nil {
+			t.Errorf("%s: the body was answered with status %d", framing, a.StatusCode)
+		}
+		assert.Equal(t, state, http.StateClosed, framing)
+	}
+}
+
 // Guards against request smuggling: a sender and this node that disagree about
 // the end of a body disagree about where the next request begins.
 func TestServerRefusesAmbiguousFraming(t *testing.T) {
--- a/internal/peercall/server.go
+++ b/internal/peercall/server.go
@@ -74,14 +74,15 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b := call.NewDuplexBody(w, r)
 	defer b.Release()
+	w = b.ResponseWriter()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	if s.Authorized != nil && !s.Authorized(r) {
-		s.refuse(w, "NotANode", "the sender of the request is not a node of this mesh", http.StatusForbidden)
+		s.refuse(w, r, "NotANode", "the sender of the request is not a node of this mesh", http.StatusForbidden)
 		return
 	}
 	c, err := s.parseCall(r)
 	if err != nil {
-		s.refuse(w, "BadHeader", err.Error(), http.StatusBadRequest)
+		s.refuse(w, r, "BadHeader", err.Error(), http.StatusBadRequest)
 		return
 	}
 	// A sender that stops reading the response, because its process is paused or
@@ -93,6 +94,7 @@
 	a, err := s.Do(ctx, c, r)
 	s.setNodeHeaders(w.Header())
 	if err != nil {
+		call.DiscardBody(r)
 		WriteError(w, err)
 		return
 	}
@@ -103,7 +105,8 @@
 // refuse writes the response to a request that is not a valid call of a node.
 // The response is marked as not run: the sender would otherwise take it for a
 // response of the backend server.
-func (s *Server) refuse(w http.ResponseWriter, reason, text string, status int) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, reason, text string, status int) {
+	call.DiscardBody(r)
 	s.setNodeHeaders(w.Header())
 	w.Header().Set(call.HeaderNotRun, reason)
 	w.Header().Set(call.HeaderRetry, "no")
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -113,6 +113,7 @@
 	}()
 	b := call.NewDuplexBody(w, in)
 	defer b.Release()
+	w = b.ResponseWriter()
 	j, err := s.acceptRequest(in, began)
 	if j.route != nil {
 		record.Route, record.Account, record.Nested, record.Version = j.route.Prefix, j.account, j.nested, j.version
@@ -309,6 +310,7 @@
 		record.Status, record.Reason = statusCallerLeft, "CallerLeft"
 		return
 	}
+	call.DiscardBody(in)
 	h := w.Header()
 	s.setConnectionClose(h)
 	if id := in.Header[s.names.RequestID]; len(id) > 0 {
@@ -321,6 +323,8 @@
 		h.Set("Retry-After", formatSeconds(addJitter(r.retryAfter)))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	// With its length, the response is complete before Release waits for the caller.
+	h.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
 	w.WriteHeader(r.status)
 	_, _ = io.WriteString(w, r.reason+"\n")
 }
--- a/internal/sidecar/noderequests.go
+++ b/internal/sidecar/noderequests.go
@@ -34,9 +34,10 @@
 	s.requestHosts.add(in.RemoteAddr)
 	b := call.NewDuplexBody(w, in)
 	defer b.Release()
+	w = b.ResponseWriter()
 	r, err := parseNodeRequest(in, s.names, s.now())
 	if err != nil {
-		s.writeError(w, err)
+		s.writeError(w, in, err)
 		return
 	}
 	b.SetDeadline(r.Deadline.Add(writeGrace))
@@ -45,7 +46,7 @@
 	defer cancel()
 	a, err := s.localBackend.do(ctx, r)
 	if err != nil {
-		s.writeError(w, err)
+		s.writeError(w, in, err)
 		return
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -55,8 +56,11 @@
 
 // writeError answers a request for which there is no response of the backend
 // server.
-func (s *nodeRequestHandler) writeError(w http.ResponseWriter, err error) {
+func (s *nodeRequestHandler) writeError(w http.ResponseWriter, in *http.Request, err error) {
+	call.DiscardBody(in)
 	h := w.Header()
+	// With its length, the response is complete before Release waits for the sender.
+	h["Content-Length"] = []string{"0"}
 	writeLoadHeaders(h, s.localBackend.admission.Load(), s.calls.header())
 	var f *priorityadmission.Refusal
 	var n *call.NotRun
