sidecar, call: no empty success for a request whose body does not arrive

A caller whose body came late, or broke off, got an empty 200 OK for a request that had not run.

Cause: a read of the body that fails ends the context of the request, the handler took that for a caller that has left and returned without a response, and net/http writes 200 in that case. The refusals 408 and 400 for such bodies were never sent. Flushing the response in Release would have sent the 200 as well.

TestIncompleteBodyIsRefused failed before in all five cases: '200 != 408', '200 != 400', and 200 for bodies without length.

Change: a request with an incomplete body is refused although its context has ended; any other whose caller has left is aborted, so that the connection ends without a response. Release does not write the header of a response that the handler did not begin.

--- a/internal/call/duplexbody.go
+++ b/internal/call/duplexbody.go
@@ -178,6 +178,12 @@
 		b.readLock.Lock()
 	}
 	defer b.readLock.Unlock()
+	if !b.w.headerWritten {
+		// The handler aborts the request, or net/http writes the header.
+		b.w.Header().Set("Connection", "close")
+		_ = b.controller().SetReadDeadline(time.Unix(1, 0))
+		return
+	}
 	_ = b.w.FlushError()
 	// Unread bytes turn the close into a reset. A client that is still sending may
 	// lose the response by it, so it gets time to read the response first.
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -306,9 +306,12 @@
 func (s *callerHandler) writeRejection(w http.ResponseWriter, in *http.Request, err error, record *RequestRecord) {
 	r := rejectionFor(err)
 	record.Status, record.Reason, record.Detail = r.status, r.reason, r.detail
-	if in.Context().Err() != nil {
+	// A body that does not arrive ends the context too, but the caller may be there.
+	var incomplete *call.IncompleteBody
+	if in.Context().Err() != nil && !errors.As(err, &incomplete) {
 		record.Status, record.Reason = statusCallerLeft, "CallerLeft"
-		return
+		// If the handler returned, net/http would answer with an empty 200.
+		panic(http.ErrAbortHandler)
 	}
 	call.DiscardBody(in)
 	h := w.Header()
