--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -115,7 +115,7 @@
 			started := !n.storeRead.Load()
 			n.applyUpdate(u)
 			n.recordPosition(u)
-			// A store that states no era has never come back from a copy.
+			// Without eras the store never comes back from a copy.
 			if started && from == relay.StoreSource && u.Era > 0 {
 				n.background.Go(func() { n.readStartConfig(ctx) })
 			}
