--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -33,8 +33,8 @@
 	Now      func() time.Time
 
 	serveOnce sync.Once
-	// served is closed when Serve has returned, or will not be called.
-	served chan struct{}
+	// queue accepts connections from Listener.
+	queue *queueListener
 
 	mu    sync.Mutex
 	conns map[net.Conn]*serverConn
@@ -61,9 +61,10 @@
 // ConnState and ConnContext of h.
 func NewServer(h *http.Server, l net.Listener) *Server {
 	s := &Server{
-		HTTP: h, Listener: l, Now: time.Now, served: make(chan struct{}),
+		HTTP: h, Listener: l, Now: time.Now,
 		conns: map[net.Conn]*serverConn{}, connClosed: make(chan struct{}),
 	}
+	s.queue = &queueListener{l, s}
 	handler, onState, onConn := h.Handler, h.ConnState, h.ConnContext
 	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n, ok := r.Context().Value(serverConnKey{}).(net.Conn); ok && s.closesAfterResponse(n) {
@@ -89,10 +90,19 @@
 // Serve accepts connections until the listener is closed. It is called at most
 // once.
 func (s *Server) Serve() {
-	s.serveOnce.Do(func() {
-		defer close(s.served)
-		_ = s.HTTP.Serve(s.Listener)
-	})
+	s.serveOnce.Do(func() { _ = s.HTTP.Serve(s.queue) })
+}
+
+// stopAccepting accepts the connections that wait, closes the listener and waits for
+// the end of Serve.
+func (s *Server) stopAccepting() {
+	if s.queue.finish() {
+		defer time.AfterFunc(maxQueueTime, func() { _ = s.Listener.Close() }).Stop()
+	} else {
+		_ = s.Listener.Close()
+	}
+	s.serveOnce.Do(func() {})
+	_ = s.Listener.Close()
 }
 
 // onStateChange is the ConnState hook of the http.Server.
@@ -130,6 +140,14 @@
 	return s.keepAlivesEnded || c != nil && c.closing
 }
 
+// isClosing reports whether a connection was to be closed.
+func (s *Server) isClosing(n net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.conns[n]
+	return c != nil && c.closing
+}
+
 // Open returns the number of open connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -138,16 +156,18 @@
 }
 
 // Idle returns the number of connections that wait for their next request.
-func (s *Server) Idle() int {
+func (s *Server) Idle() int { return s.count(http.StateIdle) }
+
+func (s *Server) count(state http.ConnState) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	idle := 0
+	n := 0
 	for _, c := range s.conns {
-		if c.state == http.StateIdle {
-			idle++
+		if c.state == state {
+			n++
 		}
 	}
-	return idle
+	return n
 }
 
 // EndKeepAlives makes the response to each further request close its connection.
@@ -206,9 +226,8 @@
 	return true
 }
 
-// closeUnused closes the connections that no request uses and returns the number
-// of open connections.
-func (s *Server) closeUnused() int {
+// closeUnused closes the connections that no request uses.
+func (s *Server) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
@@ -219,33 +238,32 @@
 			c.close(n)
 		}
 	}
-	return len(s.conns)
 }
 
 // Drain closes the listener, closes each connection once no request uses it, and
 // returns when all are closed. If ctx ends first, it closes the remaining
-// connections at once and returns their number.
+// connections at once and returns the number of requests that this cuts.
 func (s *Server) Drain(ctx context.Context) (cut int) {
 	s.EndKeepAlives()
-	_ = s.Listener.Close()
-	s.serveOnce.Do(func() { close(s.served) })
-	<-s.served
+	s.stopAccepting()
+	s.closeUnused()
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
-		connClosed := s.connClosed
+		open, connClosed := len(s.conns), s.connClosed
 		s.mu.Unlock()
-		open := s.closeUnused()
 		if open == 0 {
 			return 0
 		}
 		select {
 		case <-ctx.Done():
+			cut = s.count(http.StateActive)
 			_ = s.HTTP.Close()
-			return open
+			return cut
 		case <-connClosed:
 		case <-t.C:
+			s.closeUnused()
 		}
 	}
 }
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -195,6 +195,8 @@
 	listener net.Listener
 	server   *http.Server
 	handle   http.HandlerFunc
+	// health, if set, answers health checks.
+	health atomic.Pointer[http.HandlerFunc]
 
 	mu   sync.Mutex
 	runs []*http.Request
@@ -215,6 +217,9 @@
 // ServeHTTP implements http.Handler.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
+		if h := b.health.Load(); h != nil {
+			(*h)(w, r)
+		}
 		return
 	}
 	w.Header().Set(testHeaders.RequestID, r.Header.Get(testHeaders.RequestID))
@@ -297,6 +302,7 @@
 		Routes: []config.Route{
 			{VirtualHost: "mesh", Prefix: "/list/", Service: "desk", Kind: config.RouteSafe, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
 			{VirtualHost: "mesh", Prefix: "/entry/", Service: "desk", Kind: config.RouteUnsafe, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
+			{VirtualHost: "mesh", Prefix: "/pack/", Service: "desk", Kind: config.RouteDownload, TimeoutMs: 1500, ObjectiveMs: 1000, Attempts: 2},
 			{VirtualHost: "mesh", Prefix: "/open/", Service: "desk", Kind: config.RouteSafe, TimeoutMs: 1500, Open: true},
 		},
 	}
@@ -322,7 +328,7 @@
 	}
 	for _, node := range m.nodes {
 		waitFor(t, "ready", func() bool {
-			return ready(node) && len(node.directory.View().Instances) == n && node.admission.Load().Permits == 4
+			return ready(node) && len(node.directory.View().Instances) == n && len(node.chooser.HostStatuses()) == n && node.admission.Load().Permits == 4
 		})
 	}
 	return m
