--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -114,8 +114,8 @@
 			}
 			n.applyUpdate(u)
 			n.recordPosition(u)
-			// The first state of an era may be that of a copy. A store that states no
-			// era never comes back from one.
+			// The first state of an era may be that of a copy. Without eras the store
+			// never comes back from one.
 			if from == relay.StoreSource && u.Full && u.Era > position.Era {
 				n.background.Go(func() { n.readOtherConfigs(ctx) })
 			}
