http1: read deadlines of a handler hold on a closing connection

A request whose body stopped in the middle was never ended by its deadline if its connection had been told to close when the request was read: handler and connection stayed until the caller left or the stop was over.

Cause: a read that fails by the deadline of the close looks for bytes once more, and it did so for every deadline, also that of the body.

Change: only a connection without a request is read once more.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sync/atomic"
 	"testing"
@@ -257,3 +259,36 @@
 	cancel()
 	assert.Equal(t, s.Drain(ctx), 0)
 }
+
+// Guards against a read deadline of a handler that has no effect on a connection
+// that was to be closed as idle when its request was read.
+func TestBodyDeadlineHoldsOnClosingConnection(t *testing.T) {
+	l := &hookedListener{}
+	inHandler, bodySent := make(chan struct{}), make(chan struct{})
+	readErr := make(chan error, 1)
+	s := serveHooked(t, l, func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			return
+		}
+		close(inHandler)
+		<-bodySent
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+		_, err := io.ReadAll(r.Body)
+		readErr <- err
+	})
+	c := dialIdle(t, s)
+	sweep := func() { s.Sweep(0, 0) }
+	l.afterNoDeadline.Store(&sweep)
+	_, err := io.WriteString(c.conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+	assert.NilError(t, err)
+	<-inHandler
+	_, err = io.WriteString(c.conn, "entry")
+	assert.NilError(t, err)
+	close(bodySent)
+	select {
+	case err := <-readErr:
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the read of the body has not ended 5 s after its deadline")
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -140,12 +140,12 @@
 	return s.keepAlivesEnded || c != nil && c.closing
 }
 
-// isClosing reports whether a connection was to be closed.
+// isClosing reports whether a connection without a request was to be closed.
 func (s *Server) isClosing(n net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.conns[n]
-	return c != nil && c.closing
+	return c != nil && c.closing && c.state != http.StateActive
 }
 
 // Open returns the number of open connections.
