sidecar: count the nodes that answer when others are asked for a configuration

A node kept the configuration of a copy until the operator wrote again when the first three nodes that it asked were dead, though others had the newer one.

Change: the limit of three counts answers.

--- a/internal/sidecar/otherconfigs.go
+++ b/internal/sidecar/otherconfigs.go
@@ -22,7 +22,11 @@
 	n.selectorMu.Unlock()
 	// The order differs per node, so that not all read the same ones.
 	nodes = hosts.Rank(n.settings().ControlAddress, nodes)
-	for _, address := range nodes[:min(len(nodes), maxConfigReads)] {
+	read := 0
+	for _, address := range nodes {
+		if read == maxConfigReads || ctx.Err() != nil {
+			return
+		}
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		u, err := n.readNodeState(listCtx, address)
 		cancel()
@@ -30,6 +34,7 @@
 			n.Log.Debug("configuration of another node cannot be read", "source", address, "error", err)
 			continue
 		}
+		read++
 		if u.Published != nil {
 			n.updateMu.Lock()
 			n.applyConfig(u.Published)
--- a/internal/sidecar/otherconfigs_test.go
+++ b/internal/sidecar/otherconfigs_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
+	"quetzaldock.example/quetzaldock/pkg/hosts"
 	"quetzaldock.example/quetzaldock/pkg/relay"
 )
 
@@ -78,3 +81,38 @@
 		assert.Assert(t, time.Now().Before(end), "version %d", n.snapshot.Load().Version)
 	}
 }
+
+// Guards against a node that keeps the configuration of a copy because the first nodes
+// that it asks for a newer one do not answer.
+func TestConfigurationIsReadFromNodesThatAnswer(t *testing.T) {
+	source := testNode(t, "127.0.0.1:9")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	go func() { _ = (&peer.Server{Updates: source.serveUpdates, Log: source.Log}).Serve(t.Context(), l) }()
+	source.applyUpdate(&Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now().Add(time.Hour), Published: routesDocument(7, 2)})
+	live := net.JoinHostPort("127.0.0.1", port)
+	var all []fleet.Change
+	addresses := []string{live}
+	for i := range 6 {
+		host := fmt.Sprintf("127.0.0.%d", 20+i)
+		all = append(all, instanceStarted(fmt.Sprintf("i-%d", 2+i), host+":9", 1000, 0))
+		addresses = append(addresses, net.JoinHostPort(host, port))
+	}
+	all = append(all, instanceStarted("i-1", "127.0.0.1:9", 1000, 0))
+	self := ""
+	for i := 2; self == ""; i++ {
+		a := net.JoinHostPort(fmt.Sprintf("127.0.1.%d", i), port)
+		if r := hosts.Rank(a, addresses); !slices.Contains(r[:3], live) {
+			self = a
+		}
+	}
+	n := New(Settings{Host: "b", Service: "desk", Zone: "north", CallAddress: "127.0.0.2:1", ControlAddress: self, BackendAddress: "127.0.0.2:10", MaxConnections: 1})
+	n.HeaderNames = testHeaders
+	n.buildComponents()
+	defer func() { _ = n.metrics.Close() }()
+	n.applyUpdate(&Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now(), Published: routesDocument(1, 2), Changes: all})
+	assert.Equal(t, len(n.sourceSelector.Nodes()), 7)
+	n.readOtherConfigs(t.Context())
+	assert.Equal(t, n.snapshot.Load().Version, uint64(7))
+}
