sidecar: record a refusal with the time and outcome that the caller saw

Logs and metrics showed 0.5 s for a refusal that was sent at once, and a caller that left, when the body of the request was long or late.

Cause: the request was recorded after the wait for the rest of its body, whose end also ends the context.

Found by review: TestRecordOfARefusalIsThatOfTheResponse failed, 501 ms for a 401 of a POST of 4 MiB. Change: the request is recorded before that wait, and counts as left only without a response.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -106,14 +106,16 @@
 func (s *callerHandler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	record := RequestRecord{}
 	began := s.now()
+	b := call.NewDuplexBody(w, in)
+	// Release may wait for the caller, so the request is recorded before.
+	defer b.Release()
+	w = b.ResponseWriter()
 	defer func() {
 		record.ID, record.Latency = in.Header.Get(s.names.RequestID), s.now().Sub(began)
-		record.CallerLeft = in.Context().Err() != nil
+		// A body that does not arrive before a refusal ends the context too.
+		record.CallerLeft = in.Context().Err() != nil && (record.Reason == "" || record.Status == statusCallerLeft)
 		s.recordRequest(&record)
 	}()
-	b := call.NewDuplexBody(w, in)
-	defer b.Release()
-	w = b.ResponseWriter()
 	j, err := s.acceptRequest(in, began)
 	if j.route != nil {
 		record.Route, record.Account, record.Nested, record.Version = j.route.Prefix, j.account, j.nested, j.version
--- a/internal/sidecar/incompletebody_test.go
+++ b/internal/sidecar/incompletebody_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +55,38 @@
 		})
 	}
 }
+
+// Guards against a refusal that is recorded as a caller that left, or with the time
+// that the caller gets to read it.
+func TestRecordOfARefusalIsThatOfTheResponse(t *testing.T) {
+	m := newMesh(t, 1)
+	n := m.nodes[0]
+	records := make(chan RequestRecord, 10)
+	n.callerHandler.recordRequest = func(r *RequestRecord) { records <- *r }
+	body := strings.Repeat("x", 4<<20)
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.Settings.CallerAddress+"/entry/1", strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = "mesh"
+	r.Header.Set(testHeaders.Key, "wrong")
+	a, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	_, _ = io.ReadAll(a.Body)
+	_ = a.Body.Close()
+	x := <-records
+	c := openCallerConnection(t, n)
+	_, err = fmt.Fprintf(c, "POST /entry/1 HTTP/1.1\r\nHost: mesh\r\n%s: r\r\n%s: wrong\r\nContent-Length: 100\r\n\r\n", testHeaders.RequestID, testHeaders.Key)
+	assert.NilError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	a, err = http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	x2 := <-records
+	c = openCallerConnection(t, n)
+	_, err = fmt.Fprintf(c, "POST /entry/1 HTTP/1.1\r\nHost: mesh\r\n%s: r\r\n%s: 300\r\n%s: secret\r\nContent-Length: 100\r\n\r\nhalf", testHeaders.RequestID, testHeaders.TimeLeft, testHeaders.Key)
+	assert.NilError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	a, err = http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	x3 := <-records
+	assert.Check(t, x.Latency < 300*time.Millisecond)
+	assert.Check(t, !x.CallerLeft && !x2.CallerLeft && !x3.CallerLeft)
+}
