--- a/internal/sidecar/incompletebody_test.go
+++ b/internal/sidecar/incompletebody_test.go
@@ -29,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMesh(t, 1)
-			m.backends[0].handle = func(w http.ResponseWriter, r *http.Request) {
+			m.backends[0].handle = func(_ http.ResponseWriter, r *http.Request) {
 				if _, err := r.Body.Read(make([]byte, 100)); err != nil {
 					panic(http.ErrAbortHandler)
 				}
