fleet, sidecar: use the usual terms for removals and entries held back

Names and comments only: removalRetention, recordRemoval, held back in place of not believed; five tests are renamed. No change of behaviour.

--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -67,7 +67,7 @@
 	PositionsLost uint64
 	// Missing is the number of instances that the node still uses although their
 	// entries are missing. Outdated is the number of published entries that it
-	// does not believe because it knows later ones.
+	// holds back because it knows later ones.
 	Missing  int
 	Outdated int
 }
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -113,7 +113,7 @@
 
 // Guards against a node that hands on nothing, or the changes after an equal
 // revision, to a node that is an era behind or ahead.
-func TestNodesOfDifferentErasUnderstandEachOther(t *testing.T) {
+func TestReplyToNodeOfAnotherEra(t *testing.T) {
 	n := restoredNode(t)
 	begun := time.Now()
 	for _, revision := range []uint64{5, 10, 90} {
@@ -135,7 +135,7 @@
 
 // Guards against nodes of the build before eras that get the full state again and
 // again, or that are taken for current ones.
-func TestNodesWithoutErasUnderstandOthers(t *testing.T) {
+func TestReplyToNodeWithoutEras(t *testing.T) {
 	n := restoredNode(t)
 	r, err := n.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 10, WaitMs: 1})
 	assert.NilError(t, err)
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -143,7 +143,8 @@
 // Published returns the published entries of instances, in no particular order,
 // and the zones that are published as out. What is only kept after an outage is
 // left out: a node that learned of it here would not learn of its end. Outdated
-// entries are returned as published: what a node believes depends on what it knew.
+// entries are returned as published: what a node holds back depends on the entries
+// that it has seen.
 func (d *Directory) Published() ([]Instance, map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -213,7 +214,7 @@
 		delete(d.outdated, id)
 		return
 	}
-	d.rememberRemoval(known, now)
+	d.recordRemoval(known, now)
 	if d.wasRewritten(id, now) {
 		delete(d.outdated, id)
 		d.deleteInstance(id)
@@ -226,7 +227,7 @@
 func (d *Directory) removeUnlisted(id string, now time.Time) {
 	// The gap of a copy does not say that the instance was removed.
 	if !now.Before(d.rewrittenBy) {
-		d.rememberRemoval(d.instances[id], now)
+		d.recordRemoval(d.instances[id], now)
 	}
 	d.removeAfterGrace(id, now)
 }
--- a/pkg/fleet/restore.go
+++ b/pkg/fleet/restore.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// removalMemory is how long a removed instance is remembered. The copies from
+	// removalRetention is how long a removed instance is recorded. The copies from
 	// which a store comes back are younger.
-	removalMemory = time.Minute
-	// maxRemovals is the number of removed instances that are remembered.
+	removalRetention = time.Minute
+	// maxRemovals is the number of removed instances that are recorded.
 	maxRemovals = 1024
 )
 
@@ -132,9 +132,9 @@
 	return now.Before(d.rewrittenBy) && d.rewritten[id]
 }
 
-// rememberRemoval notes that an instance was removed. If there are too many, it
-// forgets the oldest removal.
-func (d *Directory) rememberRemoval(i *Instance, now time.Time) {
+// recordRemoval notes that an instance was removed. If there are too many, it
+// drops the oldest removal.
+func (d *Directory) recordRemoval(i *Instance, now time.Time) {
 	if len(d.removed) >= maxRemovals {
 		oldest := ""
 		for id, r := range d.removed {
@@ -152,7 +152,7 @@
 func (d *Directory) expireRestored(now time.Time) bool {
 	changed := false
 	for id, r := range d.removed {
-		if now.Sub(r.at) >= removalMemory {
+		if now.Sub(r.at) >= removalRetention {
 			delete(d.removed, id)
 		}
 	}
--- a/pkg/fleet/restore_test.go
+++ b/pkg/fleet/restore_test.go
@@ -54,7 +54,7 @@
 }
 
 // Guards against an instance that leaves and gets requests again because a copy of
-// the store shows an earlier entry, and against an entry that is never believed.
+// the store shows an earlier entry, and against an entry that is never applied.
 func TestEarlierEntryOfACopyIsHeldBack(t *testing.T) {
 	d, c := newDirectory()
 	d.Apply([]fleet.Change{instanceWith("a", fleet.Draining, 100, 9), instanceWith("b", fleet.Draining, 100, 9)})
@@ -97,7 +97,7 @@
 
 // Guards against an entry that is held back although nothing tells that it is
 // outdated.
-func TestEntriesWithoutOrderAreBelieved(t *testing.T) {
+func TestEntriesWithoutOrderAreApplied(t *testing.T) {
 	d, _ := newDirectory()
 	d.Apply([]fleet.Change{instanceWith("a", fleet.Draining, 0, 9), instanceWith("b", fleet.Draining, 100, 0), instanceWith("c", fleet.Draining, 0, 9)})
 	d.Apply([]fleet.Change{instanceRemoved("c")})
@@ -138,8 +138,8 @@
 }
 
 // Guards against removed instances that fill the memory.
-func TestRememberedRemovalsAreBounded(t *testing.T) {
-	const all, remembered = 1100, 1024
+func TestRecordedRemovalsAreBounded(t *testing.T) {
+	const all, recorded = 1100, 1024
 	d, c := newDirectory()
 	var entries []fleet.Change
 	for i := range all {
@@ -149,8 +149,8 @@
 		c.now = c.now.Add(time.Millisecond)
 	}
 	d.Restore(entries)
-	assert.Equal(t, d.Kept().Outdated, remembered)
-	assert.Assert(t, d.View().Instances["0"] != nil, "the oldest removal is forgotten first")
+	assert.Equal(t, d.Kept().Outdated, recorded)
+	assert.Assert(t, d.View().Instances["0"] != nil, "the oldest removal is dropped first")
 	d.Replace(nil)
 	c.now = c.now.Add(time.Minute)
 	d.Expire()
@@ -162,7 +162,7 @@
 
 // Guards against an instance whose removal was seen after an outage or a restore,
 // while missing entries are kept, and that is ready again with the next copy.
-func TestRemovalSeenInAGraceIsRememberedInARestore(t *testing.T) {
+func TestRemovalSeenInAGraceHoldsInARestore(t *testing.T) {
 	d, c := newDirectory()
 	entry := instanceWith("left", fleet.Ready, 100, 4)
 	d.Apply([]fleet.Change{entry})
@@ -205,7 +205,7 @@
 	assert.Assert(t, d.View().Instances["left"] == nil)
 }
 
-// Guards against earlier entries that are believed while the store may still hold
+// Guards against earlier entries that are applied while the store may still hold
 // the entry of an instance that has left, and against two entries of one instance
 // for other nodes.
 func TestEarlierEntryIsHeldBackUntilTheStoreHasDroppedIt(t *testing.T) {
