Estimate durations by route in the admission beside a server

Cause: one mean duration over all routes.

Change: the durations are kept by route; a call of a running request may wait until its deadline, not only a third of it; among equal priorities long work takes its turn later by its duration.

--- a/internal/sidecar/callerwaits.go
+++ b/internal/sidecar/callerwaits.go
@@ -33,7 +33,7 @@
 	if w.usualTimeout == nil {
 		w.usualTimeout = map[string]time.Duration{}
 	}
-	key := r.VirtualHost + r.Prefix
+	key := r.Key()
 	usualTimeout := w.usualTimeout[key]
 	if left >= usualTimeout {
 		w.usualTimeout[key] = left
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -30,6 +30,8 @@
 	// instanceID returns the ID of the instance at the backend server's address,
 	// or the empty string if none is known.
 	instanceID func() string
+	// class names the kind of work of a request, see priorityadmission.Request.
+	class func(in *http.Request) string
 	// onSent is called for each request that is sent to the backend server.
 	onSent func()
 	// onFailure is called for each sent request without a complete response.
@@ -54,7 +56,7 @@
 		return nil, f
 	}
 	slot, err := l.admission.Admit(ctx, priorityadmission.Request{
-		Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, NoWait: r.NoWait, TypicalDuration: r.TypicalLatency, Nested: r.Nested,
+		Class: l.class(r.Original), Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, NoWait: r.NoWait, TypicalDuration: r.TypicalLatency, Nested: r.Nested,
 		RootHash: l.names.rootHash(r.Header.Get(l.names.RequestID)),
 	})
 	if err != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -253,7 +254,7 @@
 			Dial:         func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
 			OnIdleClosed: n.onConnectionsClosed,
 		},
-		onSent: n.calls.recordRun, onFailure: requestLog.logFailure, instanceID: n.localInstanceID, onClosed: n.onConnectionsClosed,
+		onSent: n.calls.recordRun, onFailure: requestLog.logFailure, instanceID: n.localInstanceID, class: n.classOf, onClosed: n.onConnectionsClosed,
 		onUnreachable: func() { n.setReachable(false) },
 	}
 	n.crashes = n.newCrashDetector()
@@ -288,6 +289,20 @@
 	return ""
 }
 
+// classOf returns the key of the route of a request, by the configuration in force
+// here, or the empty string if it has none.
+func (n *Node) classOf(in *http.Request) string {
+	v := n.snapshot.Load()
+	if v == nil {
+		return ""
+	}
+	r, ok := v.RouteForHost(in.Host, requestPath(in))
+	if !ok {
+		return ""
+	}
+	return r.Key()
+}
+
 // localService returns the configuration of the local backend server's service,
 // or nil if it is not known.
 func (n *Node) localService() *config.Service {
--- a/internal/sidecar/responsesizes.go
+++ b/internal/sidecar/responsesizes.go
@@ -31,7 +31,7 @@
 	if s.averageBytes == nil {
 		s.averageBytes = map[string]float64{}
 	}
-	key := r.VirtualHost + r.Prefix
+	key := r.Key()
 	average, ok := s.averageBytes[key]
 	if !ok {
 		average = float64(bytes)
@@ -44,5 +44,5 @@
 func (s *responseSizes) crossZoneCost(r *config.Route) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return minCrossZoneCost + s.averageBytes[r.VirtualHost+r.Prefix]/crossZoneBytesPerLatency
+	return minCrossZoneCost + s.averageBytes[r.Key()]/crossZoneBytesPerLatency
 }
--- a/internal/sidecar/routesplitter.go
+++ b/internal/sidecar/routesplitter.go
@@ -29,7 +29,7 @@
 	for _, t := range r.Splits {
 		total += t.Weight
 	}
-	at := s.nextPoint(r.VirtualHost+r.Prefix) * float64(total)
+	at := s.nextPoint(r.Key()) * float64(total)
 	for _, t := range r.Splits {
 		if at -= float64(t.Weight); at < 0 {
 			return t.Service
--- a/pkg/config/accept.go
+++ b/pkg/config/accept.go
@@ -203,7 +203,7 @@
 		key := entryKey("Routes", r.Prefix, i)
 		checkPrefix(c.faults, p.name, key+".Prefix", r)
 		checkRoute(c.faults, p.name, key, r)
-		addNamed(c.faults, p.name, key, c.snapshot.routesByKey, r.key(), r)
+		addNamed(c.faults, p.name, key, c.snapshot.routesByKey, r.Key(), r)
 	}
 }
 
@@ -263,7 +263,7 @@
 	})
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		s.routesByKey[r.key()] = r
+		s.routesByKey[r.Key()] = r
 		if r.VirtualHost != "" {
 			s.indexVirtualRoute(r)
 			continue
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -28,7 +28,7 @@
 			c.checkZoneRef(p.name, entryKey("Hosts", h.ID, i), h.Zone)
 		}
 		for i, r := range p.doc.Routes {
-			c.checkRouteServiceRefs(p.name, entryKey("Routes", r.key(), i), &r)
+			c.checkRouteServiceRefs(p.name, entryKey("Routes", r.Key(), i), &r)
 		}
 		for i, a := range p.doc.Accounts {
 			for _, k := range a.Keys {
--- a/pkg/config/route.go
+++ b/pkg/config/route.go
@@ -10,8 +10,8 @@
 // in milliseconds.
 const maxRouteNumber = 3_600_000
 
-// key identifies the route within a configuration.
-func (r *Route) key() string { return r.VirtualHost + r.Prefix }
+// Key identifies the route within a configuration.
+func (r *Route) Key() string { return r.VirtualHost + r.Prefix }
 
 // CanRepeat reports whether a request of the route may run more than once, given
 // whether its method is idempotent.
--- a/pkg/priorityadmission/controller.go
+++ b/pkg/priorityadmission/controller.go
@@ -30,17 +30,16 @@
 	// beginning, urgent requests that arrive later would wait for the next
 	// window.
 	coldWindowParts = 4
-	// initialMeanDuration is the assumed duration of a request before the first
-	// measurement.
-	initialMeanDuration = 100 * time.Millisecond
-	// durationWeight is the weight of a new duration in the moving average.
-	durationWeight = 1.0 / 16
 	// A request is refused as late if, when it would start, less than the mean
 	// duration divided by minRunTimeDivisor is left until its deadline.
 	minRunTimeDivisor = 4
 	// A request with an objective waits for at most its time until the deadline
 	// divided by maxWaitDivisor.
 	maxWaitDivisor = 3
+	// longWorkDelay is how much later, in units of its expected duration, a request
+	// takes its turn among those of its priority. In an overload a slot serves
+	// several short requests in the time of a long one.
+	longWorkDelay = 1
 	// overdueOutcomeWeight is the weight of one outcome of an overdue request in
 	// the moving average overdueServedRatio.
 	overdueOutcomeWeight = 1.0 / 8
@@ -56,6 +55,9 @@
 
 // A Request describes a request to be admitted.
 type Request struct {
+	// Class names the kind of work, for example the route. Requests of one class
+	// take about as long.
+	Class string
 	// Priority orders waiting requests; 0 is the most urgent.
 	Priority int
 	// Objective is the time by which the request should be answered; zero
@@ -106,10 +108,10 @@
 	coldRate  float64
 	// recentStarts holds the times of the starts within the last coldWindow.
 	recentStarts []time.Time
-	// meanDuration is the moving average of the durations of requests, and
-	// meanDeviation that of their absolute deviations from it.
-	meanDuration  time.Duration
-	meanDeviation time.Duration
+	durations    durations
+	// runningWork is the sum of the mean durations of the running requests, as
+	// estimated when they started.
+	runningWork time.Duration
 	// overdueServedRatio is the moving average of the ratio of queued overdue
 	// requests that got a slot, updated at overdueServedAt.
 	overdueServedRatio float64
@@ -124,7 +126,7 @@
 	return &Controller{
 		Now:       time.Now,
 		AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
-		slots:     defaultSlots, meanDuration: initialMeanDuration, overdueServedRatio: 1,
+		slots:     defaultSlots, durations: newDurations(), overdueServedRatio: 1,
 	}
 }
 
@@ -224,9 +226,9 @@
 	}
 	if len(c.waiting) == 0 && c.canStart(now) {
 		if req.NoWait && c.exceedsObjective(req, now) {
-			return nil, nil, &Refusal{Reason: Slow, RetryAfter: max(0, c.meanDuration-req.TypicalDuration)}
+			return nil, nil, &Refusal{Reason: Slow, RetryAfter: max(0, c.durations.all.mean-req.TypicalDuration)}
 		}
-		return nil, c.start(now), nil
+		return nil, c.start(req.Class, now), nil
 	}
 	c.seq++
 	w := c.newWaiter(req, now)
@@ -249,31 +251,42 @@
 // newWaiter returns the queue entry of a request. A request with an objective
 // waits only for a limited time: in an overload, one that cannot be answered
 // within its objective is behind those that can, and would mostly wait for long
-// and then be refused.
+// and then be refused. A nested request is not refused for its objective: without
+// it the request that made it fails, although it has run for some time.
 func (c *Controller) newWaiter(req Request, now time.Time) *waiter {
-	w := &waiter{request: req, seq: c.seq, ready: make(chan struct{})}
-	w.startBy = req.Deadline.Add(-c.meanDuration / minRunTimeDivisor)
+	expected := c.durations.of(req.Class)
+	w := &waiter{request: req, seq: c.seq, expected: expected.mean, ready: make(chan struct{})}
+	w.startBy = req.Deadline.Add(-expected.mean / minRunTimeDivisor)
 	w.maxWait = req.Deadline.Sub(now) / maxWaitDivisor
-	w.objectiveStartBy = w.startBy
+	dueStart := w.startBy
 	if !req.Objective.IsZero() {
-		if maxWaitEnd := now.Add(w.maxWait); maxWaitEnd.Before(w.startBy) {
-			w.startBy = maxWaitEnd
-		}
-		w.objectiveStartBy = req.Objective.Add(-c.meanDuration - c.meanDeviation)
-		if w.objectiveStartBy.After(w.startBy) {
-			w.objectiveStartBy = w.startBy
+		dueStart = earlier(dueStart, now.Add(w.maxWait))
+		if !req.Nested {
+			w.startBy = dueStart
 		}
+		dueStart = earlier(dueStart, req.Objective.Add(-expected.mean-expected.deviation))
+	}
+	w.objectiveStartBy = dueStart
+	if req.Nested {
+		w.objectiveStartBy = w.startBy
 	}
-	w.order = orderTime(req, w.objectiveStartBy)
+	w.order = orderTime(req, dueStart.Add(longWorkDelay*expected.mean))
 	return w
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // exceedsObjective reports whether the mean duration exceeds the time left
 // until the objective of the request. It is false once the objective has passed,
 // and on an idle server, so that one request at a time can measure whether the
 // server is still slow.
 func (c *Controller) exceedsObjective(req Request, now time.Time) bool {
-	return c.running > 0 && req.Objective.After(now) && now.Add(c.meanDuration).After(req.Objective)
+	return c.running > 0 && req.Objective.After(now) && now.Add(c.durations.of(req.Class).mean).After(req.Objective)
 }
 
 // servesOverdue reports whether enough of the recent overdue requests got a
@@ -300,19 +313,28 @@
 
 // estimateWait returns how long a new request would wait for a slot.
 func (c *Controller) estimateWait(w *waiter, now time.Time) time.Duration {
-	ahead := 1
+	ahead, work := 1, c.meanRunning()
 	for _, o := range c.waiting {
 		if o.before(w) {
 			ahead++
+			work += o.expected
 		}
 	}
-	wait := time.Duration(float64(ahead) * float64(c.meanDuration) / float64(c.slots))
+	wait := work / time.Duration(c.slots)
 	if c.isCold(now) {
 		wait = max(wait, time.Duration(float64(ahead)/c.coldRate*float64(time.Second)))
 	}
 	return wait
 }
 
+// meanRunning returns the mean duration of the running requests.
+func (c *Controller) meanRunning() time.Duration {
+	if c.running == 0 {
+		return c.durations.all.mean
+	}
+	return c.runningWork / time.Duration(c.running)
+}
+
 // cancel removes a request from the queue unless it has already left it.
 func (c *Controller) cancel(w *waiter, r Reason) {
 	c.mu.Lock()
@@ -353,7 +375,7 @@
 			continue
 		}
 		c.recordOverdue(w, true, now)
-		w.granted = c.start(now)
+		w.granted = c.start(w.request.Class, now)
 		close(w.ready)
 	}
 	c.scheduleDispatch(now)
@@ -414,7 +436,7 @@
 	if !c.isCold(now) {
 		return c.slots
 	}
-	return min(c.slots, max(1, int(c.coldRate*c.meanDuration.Seconds())))
+	return min(c.slots, max(1, int(c.coldRate*c.durations.all.mean.Seconds())))
 }
 
 // canStart reports whether a request may start now.
@@ -440,20 +462,25 @@
 
 // start takes a slot. Starts are recorded while the server is warm as well,
 // since it may be found to be cold later.
-func (c *Controller) start(now time.Time) *Slot {
+func (c *Controller) start(class string, now time.Time) *Slot {
+	expected := c.durations.of(class).mean
 	c.running++
+	c.runningWork += expected
 	if c.coldRate > 0 {
 		c.recentStarts = append(c.recentStarts, now)
 	}
-	return &Slot{controller: c, startedAt: now}
+	return &Slot{controller: c, class: class, expected: expected, startedAt: now}
 }
 
 // A Slot is the right to run one request. Release must be called once; further
 // calls have no effect.
 type Slot struct {
 	controller *Controller
-	startedAt  time.Time
-	released   bool
+	class      string
+	// expected is the mean duration of the class at the start.
+	expected  time.Duration
+	startedAt time.Time
+	released  bool
 }
 
 // Release frees the slot. completed means that the server ran the request to
@@ -467,11 +494,10 @@
 	}
 	s.released = true
 	c.running--
+	c.runningWork -= s.expected
 	now := c.Now()
 	if completed {
-		deviation := now.Sub(s.startedAt) - c.meanDuration
-		c.meanDuration += time.Duration(durationWeight * float64(deviation))
-		c.meanDeviation += time.Duration(durationWeight * float64(max(deviation, -deviation)-c.meanDeviation))
+		c.durations.record(s.class, now.Sub(s.startedAt), now)
 	}
 	c.dispatch(now)
 }
--- a/pkg/priorityadmission/queue.go
+++ b/pkg/priorityadmission/queue.go
@@ -9,6 +9,8 @@
 type waiter struct {
 	request Request
 	seq     uint64
+	// expected is the mean duration of its class.
+	expected time.Duration
 	// startBy is the time by which the request must start, or it is refused.
 	startBy time.Time
 	// objectiveStartBy is the time by which the request must start to meet its
