sidecar: requests for an earlier start of an instance reach its successor

Cause: after a loss of power an instance starts with a new ID; its old entry stays for three heartbeats. Nodes that know only the old one were refused Draining by the node beside the new one, and those that know both spent tries on the old one.

Change: the node beside an instance accepts what names an earlier start of the same service at the same address, under the limits of the new one; replaced instances are no targets.

--- a/internal/sidecar/instances.go
+++ b/internal/sidecar/instances.go
@@ -51,12 +51,15 @@
 	n.sourceSelector.SetMembers(all)
 }
 
-// balanceTargets lists the nodes beside the instances. The port of CallAddress is
-// the same on all hosts.
+// balanceTargets lists the nodes beside the instances, without those that another one
+// has replaced at their address. The port of CallAddress is the same on all hosts.
 func (n *Node) balanceTargets(v *fleet.View) []balance.Target {
 	_, port, _ := net.SplitHostPort(n.settings().CallAddress)
 	all := make([]balance.Target, 0, len(v.Instances))
 	for _, i := range v.Instances {
+		if !v.Current(i) {
+			continue
+		}
 		host, _, err := net.SplitHostPort(i.Address)
 		if err != nil {
 			n.Log.Warn("instance has an invalid address and gets no requests", "instance", i.ID, "address", i.Address)
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -27,9 +27,12 @@
 	now             func() time.Time
 	runningRequests runningRequests
 	crashes         *crash.Detector
-	// instanceID returns the ID of the instance at the backend server's address,
-	// or the empty string if none is known.
+	// instanceID returns the ID of the instance at the backend server's address, or
+	// the empty string if none is known.
 	instanceID func() string
+	// successor returns the ID of the instance that has taken the place of another
+	// one, see fleet.View.Successor. It is empty if there is none.
+	successor func(id string) string
 	// class names the kind of work of a request, see priorityadmission.Request.
 	class func(in *http.Request) string
 	// onSent is called for each request that is sent to the backend server.
@@ -47,7 +50,11 @@
 // *call.OutcomeUnknown if it may have.
 func (l *localBackend) do(ctx context.Context, r *InstanceRequest) (*http.Response, error) {
 	if id := l.instanceID(); id != r.Instance {
-		return nil, &priorityadmission.Refusal{Reason: priorityadmission.Draining}
+		// The sender may not know yet that the instance was started anew.
+		if id == "" || l.successor(r.Instance) != id {
+			return nil, &priorityadmission.Refusal{Reason: priorityadmission.Draining}
+		}
+		r.Instance = id
 	}
 	if err := l.fingerprint(r); err != nil {
 		return nil, err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -254,7 +254,7 @@
 			Dial:         func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
 			OnIdleClosed: n.onConnectionsClosed,
 		},
-		onSent: n.calls.recordRun, onFailure: requestLog.logFailure, instanceID: n.localInstanceID, class: n.classOf, onClosed: n.onConnectionsClosed,
+		onSent: n.calls.recordRun, onFailure: requestLog.logFailure, instanceID: n.localInstanceID, successor: n.successorID, class: n.classOf, onClosed: n.onConnectionsClosed,
 		onUnreachable: func() { n.setReachable(false) },
 	}
 	n.crashes = n.newCrashDetector()
@@ -289,6 +289,15 @@
 	return ""
 }
 
+// successorID returns the ID of the instance that has taken the place of another one,
+// or the empty string if none has.
+func (n *Node) successorID(id string) string {
+	if i := n.directory.View().Successor(id); i != nil {
+		return i.ID
+	}
+	return ""
+}
+
 // classOf returns the key of the route of a request, by the configuration in force
 // here, or the empty string if it has none.
 func (n *Node) classOf(in *http.Request) string {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -26,6 +26,24 @@
 	return i.State == Ready && !v.ZonesOut[i.Zone]
 }
 
+// Current reports whether no instance that started later has the instance's address.
+// One that is not current has ended, although its entry is still there.
+func (v *View) Current(i *Instance) bool { return v.ByAddress[i.Address] == i }
+
+// Successor returns the instance that has taken the place of another one: it is of the
+// same service and at the same address. An instance that is current is its own
+// successor. It returns nil if there is none, or if the ID is not known.
+func (v *View) Successor(id string) *Instance {
+	i := v.Instances[id]
+	if i == nil {
+		return nil
+	}
+	if s := v.ByAddress[i.Address]; s.Service == i.Service {
+		return s
+	}
+	return nil
+}
+
 // A Directory applies published changes. Its exported fields are set before the
 // first call. It is safe for concurrent use.
 type Directory struct {
