Keep connections after health checks and requests with a body

Cause: a health check closed its response without reading it, so that each check, one a second and instance, cost the backend server a new connection. A request with a body could end before the goroutine that had written it recorded so; then its connection was closed too.

Change: the body of a health response is read; the end of a response waits for the goroutine that has written the last bytes of the request, for 50 ms at most. A check that meets a connection which the backend server just closed is sent once more.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -64,7 +64,10 @@
 	requestDone chan struct{}
 	// sendErr is set before requestDone is closed.
 	sendErr error
-	once    sync.Once
+	// buffered is set once the request has been read to its end and its last bytes
+	// are about to be written to the connection.
+	buffered atomic.Bool
+	once     sync.Once
 	// hasRequestBody is set if the request has a body and is sent by its own
 	// goroutine.
 	hasRequestBody bool
@@ -87,6 +90,7 @@
 // write writes the request to the connection and sets sendErr.
 func (x *exchange) write(r *http.Request) {
 	if x.sendErr = r.Write(x.conn.writer); x.sendErr == nil {
+		x.buffered.Store(true)
 		x.sendErr = x.conn.writer.Flush()
 	}
 	if x.sendErr != nil && x.hasRequestBody && !x.conn.countedOut.closedByPeer.Load() {
@@ -149,15 +153,25 @@
 	})
 }
 
-// requestSent reports whether the whole request was sent without an error.
+// maxFlushWait is how long the end of a response waits for the goroutine that has just
+// written the last bytes of the request.
+const maxFlushWait = 50 * time.Millisecond
+
+// requestSent reports whether the whole request was sent without an error. The whole
+// response may be there before the goroutine that writes the request goes on.
 func (x *exchange) requestSent() bool {
 	if !x.hasRequestBody {
 		return x.sendErr == nil
 	}
+	if !x.buffered.Load() {
+		return false
+	}
+	t := time.NewTimer(maxFlushWait)
+	defer t.Stop()
 	select {
 	case <-x.requestDone:
 		return x.sendErr == nil
-	default:
+	case <-t.C:
 		return false
 	}
 }
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"quetzaldock.example/quetzaldock/internal/http1"
+	"quetzaldock.example/quetzaldock/internal/peercall"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 	"quetzaldock.example/quetzaldock/pkg/priorityadmission"
@@ -25,6 +26,9 @@
 	// healthTimeout limits one health check. Under load the check waits for a
 	// slot of the backend server.
 	healthTimeout = 900 * time.Millisecond
+	// maxHealthBytes limits how much of the body of a health response is read, so
+	// that its connection can be used again.
+	maxHealthBytes = 1 << 10
 	// coldOverageShare is the fraction of the tolerated overage of a cold backend
 	// server that admission uses. The rest, and the deployment's slack, cover
 	// health checks and seconds that begin at other times than the backend
@@ -69,10 +73,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	a, err := n.localBackend.pool.Do(ctx, &http.Request{
-		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}},
-		URL: &url.URL{Scheme: "http", Host: n.settings().BackendAddress, Path: s.HealthPath},
-	})
+	a, err := n.askHealth(ctx, s)
+	if errorx.IsOfType(err, http1.ClosedByPeer) {
+		// The backend server may have closed an idle connection at that moment.
+		n.localBackend.pool.Invalidate()
+		a, err = n.askHealth(ctx, s)
+	}
 	if err != nil {
 		if errorx.IsOfType(err, http1.NotListening) {
 			n.crashes.ServerDown()
@@ -83,12 +89,20 @@
 		}
 		return true
 	}
-	_ = a.Body.Close()
+	peercall.DrainBody(a, maxHealthBytes)
 	n.setReachable(true)
 	n.applyHealthCold(a.Header, s)
 	return true
 }
 
+// askHealth sends one health check.
+func (n *Node) askHealth(ctx context.Context, s *config.Service) (*http.Response, error) {
+	return n.localBackend.pool.Do(ctx, &http.Request{
+		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}},
+		URL: &url.URL{Scheme: "http", Host: n.settings().BackendAddress, Path: s.HealthPath},
+	})
+}
+
 // applyHealthCold applies the cold time in the response to a health check.
 func (n *Node) applyHealthCold(h http.Header, s *config.Service) {
 	if s.ColdPerSecond <= 0 {
