relay: one node of the fleet reads the store, and takeover in order

Cause: one node of each zone read the store, and when it lost it every node of the zone turned to the store, then to each other node in turn.

Change: the first members of the zones read the first among them; after a failure the node that ranks next reads the store and the others wait up to 0.6 s for it; the number of sources of a node is bounded; a confirmation of the store wakes readers; a node does not read what it has told itself (Origin); on the first start the first read waits for the instances (FirstStart). Ages of sources are on the steady clock: a jump of the time of day made a node think that nobody reads it.

The endless tests run without health checks, whose connection now stays open, so that no connection may stay open, as before.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -20,6 +20,9 @@
 	// AfterEra is nil in requests of nodes that know only revisions. Such nodes
 	// take AfterRevision to be of any era.
 	AfterEra *uint64 `cbor:"4,keyasint,omitempty"`
+	// Reader is the control address of the asking node. It is empty in requests of
+	// nodes of earlier builds.
+	Reader string `cbor:"5,keyasint,omitempty"`
 }
 
 // An UpdatesReply holds updates in the order in which they were published.
@@ -42,4 +45,6 @@
 	// Era is the era of Revision. It is 0 in replies of nodes that know only
 	// revisions.
 	Era uint64 `cbor:"7,keyasint,omitempty"`
+	// Origin is the control address of the node that read the state from the store.
+	Origin string `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -123,12 +123,16 @@
 	for i := range d.Routes {
 		d.Routes[i].TimeoutMs, d.Routes[i].ObjectiveMs = 20000, 0
 	}
+	// The connection of health checks stays open. Without them each open connection is
+	// that of a request.
+	d.Services[0].HealthPath = ""
 	m.store.publish(&PublishedConfig{Version: 2, Document: d}, used, draining)
 	for _, n := range m.nodes {
 		waitFor(t, "one instance", func() bool {
 			_, second := n.chooser.Pick("desk", []string{"i-0"})
 			return !second && n.snapshot.Load().Version == 2
 		})
+		n.localBackend.pool.Invalidate()
 	}
 	waitFor(t, "slots", func() bool { return m.nodes[0].admission.Load().Permits == 2*maxStreams })
 	return m
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -116,11 +116,12 @@
 	sourceSelector relay.SourceSelector
 	// sourcesDown is set while no source answers.
 	sourcesDown atomic.Bool
-	// lastReadMs is when a source last answered, in Unix milliseconds.
-	lastReadMs atomic.Int64
-	// lastAskedMs is when another node last asked this one for updates, in Unix
-	// milliseconds.
-	lastAskedMs atomic.Int64
+	// lastRead is when a source last answered, lastAsked when another node last asked
+	// this one for updates.
+	lastRead, lastAsked steadyTime
+	// stateOrigin is the control address of the node that read the current state from
+	// the store, this one included.
+	stateOrigin atomic.Pointer[string]
 	// positionsLost counts how often the store did not have this node's position
 	// any more.
 	positionsLost atomic.Uint64
@@ -169,7 +170,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	setMemoryLimits(n.Settings.MemoryMB)
 	n.startedAt = time.Now()
-	n.lastReadMs.Store(n.startedAt.UnixMilli())
+	n.lastRead.set(n.startedAt)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	var logWriter sync.WaitGroup
 	logWriter.Go(func() { n.logQueue.Run(logCtx) })
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -17,7 +17,7 @@
 	// maxRelayWait limits how long a request for updates waits for a change. A
 	// node that has died must be noticed well within the time in which a
 	// configuration must be in force.
-	maxRelayWait = 500 * time.Millisecond
+	maxRelayWait = watchWait + 50*time.Millisecond
 	// maxRelayAge is the age of the store's last confirmation above which a node
 	// is not read: it has lost the store itself. It is longer than a watch, and
 	// at most half of the time after which a leaving instance must get no new
@@ -69,7 +69,7 @@
 // serveUpdates answers another node's request for updates.
 func (n *Node) serveUpdates(ctx context.Context, q peer.UpdatesRequest) (peer.UpdatesReply, error) {
 	asked := time.Now()
-	n.lastAskedMs.Store(asked.UnixMilli())
+	n.lastAsked.set(asked)
 	end := asked.Add(min(time.Duration(q.WaitMs)*time.Millisecond, maxRelayWait))
 	after := relay.Position{Era: n.updateLog.Status().Era, Revision: q.AfterRevision}
 	if q.AfterEra != nil {
@@ -78,11 +78,12 @@
 	for {
 		entries, status, ok := n.updateLog.Since(after)
 		out := peer.UpdatesReply{
-			Era: status.Era, Revision: status.Revision, ConfirmedAgeMs: status.Age.Milliseconds(), WaitedMs: time.Since(asked).Milliseconds(), StoreRead: n.storeRead.Load(),
+			Origin: n.origin(), Era: status.Era, Revision: status.Revision, ConfirmedAgeMs: status.Age.Milliseconds(), WaitedMs: time.Since(asked).Milliseconds(), StoreRead: n.storeRead.Load(),
 		}
 		switch {
-		case !out.StoreRead, after.Era > status.Era:
-			// The asking node learns at once that it cannot read this one.
+		case !out.StoreRead, after.Era > status.Era, q.Reader != "" && q.Reader == out.Origin:
+			// The asking node learns at once that it cannot read this one, or that this
+			// one knows only what it was told by the asking node.
 			return out, nil
 		case q.Whole || !ok:
 			return n.fullReply(out)
@@ -91,6 +92,9 @@
 				out.EncodedUpdates = append(out.EncodedUpdates, e.Body)
 			}
 			return out, nil
+		case status.Age < time.Since(asked):
+			// The store has confirmed the position since.
+			return out, nil
 		}
 		// The reader must learn at once that this node has lost the store.
 		left := min(time.Until(end), maxRelayAge-status.Age)
@@ -103,6 +107,15 @@
 	}
 }
 
+// origin returns the control address of the node that read the current state from the
+// store, or the empty string before there is one.
+func (n *Node) origin() string {
+	if o := n.stateOrigin.Load(); o != nil {
+		return *o
+	}
+	return ""
+}
+
 // waitForChange waits until changed is closed, for at most d.
 func waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
 	t := time.NewTimer(d)
@@ -144,10 +157,14 @@
 func (n *Node) nodeSource(address string) Source {
 	read := func(ctx context.Context, q peer.UpdatesRequest) (*Update, error) {
 		asked := time.Now()
+		q.Reader = n.settings().ControlAddress
 		r, err := n.controlClient.Updates(ctx, hosts.Host{ID: address, ControlAddress: address}, q)
 		if err != nil {
 			return nil, err
 		}
+		if r.Origin == q.Reader {
+			return nil, ErrStale.New("node %s has its state from this node", address)
+		}
 		age := time.Duration(r.ConfirmedAgeMs) * time.Millisecond
 		if !r.StoreRead || age > maxRelayAge {
 			return nil, ErrStale.New("node %s has no recent state of the store: read %t, confirmed %s ago", address, r.StoreRead, age)
@@ -168,7 +185,7 @@
 
 // mergeReply combines the updates of a reply into one.
 func mergeReply(r peer.UpdatesReply, confirmedAt time.Time) (*Update, error) {
-	u := &Update{Era: r.Era, Revision: r.Revision, Full: r.Whole, ConfirmedAt: confirmedAt}
+	u := &Update{Origin: r.Origin, Era: r.Era, Revision: r.Revision, Full: r.Whole, ConfirmedAt: confirmedAt}
 	for _, b := range r.EncodedUpdates {
 		update, err := decodeUpdate(b)
 		if err != nil {
@@ -186,7 +203,7 @@
 // If no node reads, the update is not encoded, and a node that starts to read
 // later gets the full state.
 func (n *Node) recordUpdate(u *Update) {
-	isRead := time.Since(time.UnixMilli(n.lastAskedMs.Load())) <= readerTimeout
+	isRead := n.lastAsked.age(time.Now()) <= readerTimeout
 	switch {
 	case u.Full, !isRead && (len(u.Changes) > 0 || u.Published != nil):
 		n.updateLog.Reset(u.position(), u.ConfirmedAt)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -43,6 +43,9 @@
 	// PlatformURL is the base URL of the store that publishes configuration and
 	// instances.
 	PlatformURL string
+	// FirstStart is set while the whole deployment starts for the first time. All nodes
+	// then read the store at once, and instances are not published yet.
+	FirstStart bool
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int
 	// MaxConnections is the number of callers' connections above which idle ones
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -47,6 +47,8 @@
 	Changes     []fleet.Change
 	// Published is the newest configuration among the changes, or nil.
 	Published *PublishedConfig
+	// Origin is the control address of the node that read the update from the store.
+	Origin string `cbor:"-"`
 
 	// localChanges, if not nil, is what this node applies instead of Changes, see
 	// holdLocalRemoval. Other nodes get Changes.
@@ -71,6 +73,10 @@
 	// watchGrace is how long after its wait a watch may still return. A later
 	// return means that the connection has gone silent.
 	watchGrace = 400 * time.Millisecond
+	// nodeGrace is the same for a node, and staleGrace if this node's own state is
+	// already stale.
+	nodeGrace  = 300 * time.Millisecond
+	staleGrace = 250 * time.Millisecond
 	// listTimeout limits a listing of all entries, which takes several pages.
 	listTimeout = 3 * time.Second
 	// unreadWarningDelay is how long all sources must fail before a warning is
@@ -78,6 +84,10 @@
 	unreadWarningDelay = time.Second
 	// maxRetryPause limits the pause after all sources have failed.
 	maxRetryPause = 500 * time.Millisecond
+	// firstStartPause is the mean pause before the first read while the whole deployment
+	// starts. After it most instances are published, so that nodes find each other with
+	// one read each.
+	firstStartPause = 1800 * time.Millisecond
 	// minBatchPause is the pause between a change and the next watch, so that one
 	// read returns the changes made meanwhile. While each read returns changes,
 	// the pause doubles up to maxBatchPause. That is a fifth of the time in which
@@ -94,14 +104,19 @@
 	// When the whole fleet starts, instances are published one after the other, so
 	// the first pause is the longest.
 	batchPause, paused := maxBatchPause, time.Duration(0)
+	if n.settings().FirstStart && !sleep(ctx, n.jitter(firstStartPause)) {
+		return
+	}
 	for ctx.Err() == nil {
-		from, wait := n.nextSource()
-		if wait > 0 && !sleep(ctx, min(wait, maxRetryPause)) {
-			return
+		from, pause := n.nextSource()
+		if pause > 0 {
+			if !sleep(ctx, min(pause, maxRetryPause)) {
+				return
+			}
+			continue
 		}
-		// The pause and the watch together must not exceed watchWait, after which
-		// other nodes consider this node's state stale.
-		u, err := n.readSource(ctx, from, position, known, watchWait-paused)
+		wait, grace := n.waitForChanges(from, paused)
+		u, err := n.readSource(ctx, from, position, known, wait, grace)
 		paused = 0
 		if err == nil {
 			err = checkOrder(u, position)
@@ -143,6 +158,27 @@
 	}
 }
 
+// takeoverWait is how long a watch waits while this node's state is stale: other nodes
+// wait for it to be current again.
+const takeoverWait = time.Millisecond
+
+// waitForChanges returns how long a read of the source waits for a change, after a
+// pause of the given length, and how much later it may still return.
+func (n *Node) waitForChanges(from string, paused time.Duration) (wait, grace time.Duration) {
+	stale := n.updateLog.Status().Age > maxRelayAge
+	switch {
+	case from != relay.StoreSource && stale:
+		return takeoverWait, staleGrace
+	case from != relay.StoreSource:
+		return maxRelayWait, nodeGrace
+	case stale:
+		return takeoverWait, watchGrace
+	}
+	// The pause and the watch together must not exceed watchWait, after which other
+	// nodes consider this node's state stale.
+	return watchWait - paused, watchGrace
+}
+
 // checkOrder checks that an update follows on from the applied position. The error
 // is ErrEraChanged if only the full state would, and ErrStale if the update is
 // older.
@@ -157,8 +193,8 @@
 }
 
 // readSource reads the full state from a source, or the changes after a position
-// if known is set. It waits at most wait for a change.
-func (n *Node) readSource(ctx context.Context, from string, after relay.Position, known bool, wait time.Duration) (*Update, error) {
+// if known is set. It waits at most wait for a change, and grace longer for the answer.
+func (n *Node) readSource(ctx context.Context, from string, after relay.Position, known bool, wait, grace time.Duration) (*Update, error) {
 	s := n.Source
 	if from != relay.StoreSource {
 		s = n.nodeSource(from)
@@ -167,7 +203,7 @@
 	var u *Update
 	var err error
 	if known {
-		sourceCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+		sourceCtx, cancel := context.WithTimeout(ctx, wait+grace)
 		defer cancel()
 		u, err = s.Watch(sourceCtx, after, wait)
 	} else {
@@ -179,7 +215,7 @@
 		return nil, err
 	}
 	if from == relay.StoreSource {
-		u.Full = !known
+		u.Full, u.Origin = !known, n.settings().ControlAddress
 		// A watch without a change is answered at the end of its wait.
 		u.ConfirmedAt = asked
 		if known {
@@ -201,7 +237,7 @@
 	n.selectorMu.Lock()
 	n.sourceSelector.RecordSuccess(from)
 	n.selectorMu.Unlock()
-	n.lastReadMs.Store(time.Now().UnixMilli())
+	n.lastRead.set(time.Now())
 	if n.sourcesDown.Swap(false) {
 		n.Log.Info("published state can be read again", "source", sourceName(from))
 	}
@@ -219,7 +255,7 @@
 	// Other nodes may have been unable to reach this one as well.
 	n.crashReports.RequestPull()
 	n.Log.Debug("source of published state does not answer", "source", sourceName(from), "error", err)
-	last := time.Since(time.UnixMilli(n.lastReadMs.Load()))
+	last := n.lastRead.age(time.Now())
 	if last > unreadWarningDelay && !n.sourcesDown.Swap(true) {
 		n.Log.Warn("no source of published state answers", "source", sourceName(from), "error", err)
 	}
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -20,6 +20,7 @@
 	n.updateMu.Lock()
 	defer n.updateMu.Unlock()
 	n.directory.Confirm(u.ConfirmedAt)
+	n.stateOrigin.Store(&u.Origin)
 	changes := u.Changes
 	if u.localChanges != nil {
 		changes = u.localChanges
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -81,18 +81,24 @@
 }
 
 // Confirm records that the store had no newer revision of the log's era at the
-// given time.
+// given time. Readers learn of it at once: their own readers must not take them for
+// nodes that have lost the store.
 func (l *Log) Confirm(revision uint64, confirmedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.confirm(revision, confirmedAt)
+	if l.confirm(revision, confirmedAt) {
+		l.notifyReaders()
+	}
 }
 
-func (l *Log) confirm(revision uint64, confirmedAt time.Time) {
+// confirm reports whether the log is more recent than before.
+func (l *Log) confirm(revision uint64, confirmedAt time.Time) bool {
 	l.latest.Revision = max(l.latest.Revision, revision)
-	if confirmedAt.After(l.confirmedAt) {
-		l.confirmedAt = confirmedAt
+	if !confirmedAt.After(l.confirmedAt) {
+		return false
 	}
+	l.confirmedAt = confirmedAt
+	return true
 }
 
 func (l *Log) notifyReaders() {
@@ -105,7 +111,7 @@
 	Position
 	// Age is the time since the store confirmed the position.
 	Age time.Duration
-	// Changed is closed with the next update.
+	// Changed is closed with the next update or confirmation.
 	Changed <-chan struct{}
 }
 
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,12 +9,29 @@
 )
 
 const (
-	// minRetryDelay and maxRetryDelay limit the time for which a failed source is
-	// not read. It doubles with each further failure.
-	minRetryDelay = 250 * time.Millisecond
-	maxRetryDelay = 4 * time.Second
-	// readerRankKey is the key by which the members of a zone are ranked. The
-	// first member reads the store.
+	// minRetryDelay limits the time for which a failed source is not read. It doubles
+	// with each further failure, up to a limit that depends on the source: a node
+	// returns soon to the nodes from which it usually reads, and readers of the store
+	// to the store.
+	minRetryDelay       = 100 * time.Millisecond
+	maxUsualRetryDelay  = 500 * time.Millisecond
+	maxReaderRetryDelay = time.Second
+	maxOtherRetryDelay  = 4 * time.Second
+	// minStoreRetryDelay and maxStoreRetryDelay are the limits for the store at nodes
+	// that do not rank first or second. In an outage of the store these are hundreds.
+	minStoreRetryDelay = time.Second
+	maxStoreRetryDelay = 8 * time.Second
+	// takeoverStep is the time by which each further node by rank waits longer before
+	// it reads the store in place of the nodes from which it usually reads, up to
+	// maxTakeoverDelay. By then the first of them has read it.
+	takeoverStep     = 150 * time.Millisecond
+	maxTakeoverDelay = 600 * time.Millisecond
+	// maxPredecessors is the number of nodes that a node tries before the store, and
+	// maxFallbacks the number of nodes of each kind that it tries after it.
+	maxPredecessors = 3
+	maxFallbacks    = 3
+	// readerRankKey is the key by which the members of a zone, and the first members
+	// of all zones, are ranked. The first member of all reads the store.
 	readerRankKey = "reader"
 )
 
@@ -29,23 +47,31 @@
 // StoreSource stands for the store in the list of sources.
 const StoreSource = ""
 
-// A SourceSelector decides which source a node reads. The first member of the
-// node's zone by rank reads the store and the others read that member, so that
-// updates cross zones only on their way from the store. If its source fails, a
-// node tries the store and then the other members. The ranking is an optimisation
-// only: nodes may disagree about it. A SourceSelector is not safe for concurrent
-// use.
+// A SourceSelector decides which source a node reads. Of all nodes one reads the store:
+// the first by rank among the first members of all zones. The first members of the
+// other zones read that one, and the other members of a zone the first of theirs, so
+// that updates cross to each zone once. If a source fails, the nodes that read it do
+// not all turn to the store: those that rank next do so first, and the others then read
+// them. The ranking is an optimisation only: nodes may disagree about it. A
+// SourceSelector is not safe for concurrent use.
 type SourceSelector struct {
 	Self Member
 
-	// order lists the sources by preference.
-	order    []string
+	// order lists the sources by preference. The first predecessors of them come
+	// before the store.
+	order        []string
+	predecessors int
+	// members holds the addresses of the known nodes.
+	members  []string
 	failures map[string]failure
+	// failingSince is the time of the first failure since a source answered, zero if
+	// there was none.
+	failingSince time.Time
 }
 
 // SetMembers replaces the known nodes. Self may be among them or not.
 func (c *SourceSelector) SetMembers(all []Member) {
-	c.order = c.orderSources(all)
+	c.order, c.predecessors = c.orderSources(all)
 	for s := range c.failures {
 		if !slices.Contains(c.order, s) {
 			delete(c.failures, s)
@@ -62,14 +88,35 @@
 
 // Next returns the source to read now: the address of a member, or StoreSource.
 // If all sources wait for a retry, it returns the one with the earliest retry and
-// the time until then.
+// the time until then. The sources after the store are not considered while the node
+// leaves the store to others; when that time is over, the store comes first.
 func (c *SourceSelector) Next(now time.Time) (source string, wait time.Duration) {
 	all := c.order
 	if len(all) == 0 {
 		all = []string{StoreSource}
 	}
-	soonest := all[0]
-	for _, s := range all {
+	takeover := c.takeoverAt()
+	if takeover.IsZero() {
+		return c.soonest(all, now)
+	}
+	if now.Before(takeover) {
+		source, wait = c.soonest(all[:c.predecessors], now)
+		if left := takeover.Sub(now); left < wait {
+			return StoreSource, left
+		}
+		return source, wait
+	}
+	if !c.failures[StoreSource].retryAt.After(now) {
+		return StoreSource, 0
+	}
+	return c.soonest(all, now)
+}
+
+// soonest returns the first of the sources that may be read now, or the one that may be
+// read next and the time until then.
+func (c *SourceSelector) soonest(sources []string, now time.Time) (source string, wait time.Duration) {
+	soonest := sources[0]
+	for _, s := range sources {
 		if !c.failures[s].retryAt.After(now) {
 			return s, 0
 		}
@@ -80,9 +127,24 @@
 	return soonest, c.failures[soonest].retryAt.Sub(now)
 }
 
-// Nodes returns the other nodes by preference as a source.
+// takeoverAt returns the time from which this node may read the store because its usual
+// sources have failed; zero if they have not, or if it reads the store as a rule.
+func (c *SourceSelector) takeoverAt() time.Time {
+	if c.failingSince.IsZero() || c.predecessors == 0 {
+		return time.Time{}
+	}
+	return c.failingSince.Add(min(time.Duration(c.predecessors-1)*takeoverStep, maxTakeoverDelay))
+}
+
+// Nodes returns the other nodes, those that can be a source first.
 func (c *SourceSelector) Nodes() []string {
-	return slices.DeleteFunc(slices.Clone(c.order), func(s string) bool { return s == StoreSource })
+	nodes := slices.DeleteFunc(slices.Clone(c.order), func(s string) bool { return s == StoreSource })
+	for _, a := range c.members {
+		if a != c.Self.Address && !slices.Contains(c.order, a) {
+			nodes = append(nodes, a)
+		}
+	}
+	return nodes
 }
 
 // RecordFailure records that a source could not be read.
@@ -91,51 +153,77 @@
 		c.failures = map[string]failure{}
 	}
 	f := c.failures[source]
-	delay := min(minRetryDelay<<min(f.count, 8), maxRetryDelay)
-	c.failures[source] = failure{f.count + 1, now.Add(delay)}
+	least, most := c.retryDelays(source)
+	c.failures[source] = failure{f.count + 1, now.Add(min(least<<min(f.count, 8), most))}
+	if c.failingSince.IsZero() {
+		c.failingSince = now
+	}
+}
+
+// retryDelays returns the limits of the time for which the source is not read after a
+// failure.
+func (c *SourceSelector) retryDelays(source string) (least, most time.Duration) {
+	switch {
+	case source == StoreSource && c.predecessors > 1:
+		return minStoreRetryDelay, maxStoreRetryDelay
+	case source == StoreSource:
+		return minRetryDelay, maxReaderRetryDelay
+	case slices.Index(c.order, source) < c.predecessors:
+		return minRetryDelay, maxUsualRetryDelay
+	}
+	return minRetryDelay, maxOtherRetryDelay
 }
 
 // RecordSuccess records that a source answered.
-func (c *SourceSelector) RecordSuccess(source string) { delete(c.failures, source) }
+func (c *SourceSelector) RecordSuccess(source string) {
+	delete(c.failures, source)
+	c.failingSince = time.Time{}
+}
 
-// orderSources returns the sources by preference: the first member of the local
-// zone, the store, the other members of the local zone, the first members of
-// other zones, and all others.
-func (c *SourceSelector) orderSources(all []Member) []string {
+// orderSources returns the sources by preference and the number of those before the
+// store: the nodes that rank before this one, the store, and some of the other nodes.
+// Their number does not grow with the fleet.
+func (c *SourceSelector) orderSources(all []Member) (ordered []string, predecessors int) {
 	zones := map[string]string{c.Self.Address: c.Self.Zone}
 	for _, m := range all {
 		if zones[m.Address] == "" {
 			zones[m.Address] = m.Zone
 		}
 	}
+	c.members = slices.Collect(maps.Keys(zones))
 	byZone := map[string][]string{}
 	for address, zone := range zones {
 		byZone[zone] = append(byZone[zone], address)
 	}
-	var localNodes, zoneReaders, others []string
+	var local, zoneReaders, others []string
 	for zone, members := range byZone {
-		ranked := hosts.Rank(readerRankKey, members)
 		switch zone {
 		case c.Self.Zone:
-			localNodes = ranked
+			local = hosts.Rank(readerRankKey, members)
 		case "":
-			others = append(others, ranked...)
+			others = members
 		default:
-			zoneReaders = append(zoneReaders, ranked[0])
-			others = append(others, ranked[1:]...)
+			zoneReaders = append(zoneReaders, hosts.HighestRanked(readerRankKey, members))
 		}
 	}
-	var ordered []string
-	if localNodes[0] != c.Self.Address {
-		ordered = append(ordered, localNodes[0])
+	before := local[:slices.Index(local, c.Self.Address)]
+	if len(before) == 0 {
+		readers := hosts.Rank(readerRankKey, append([]string{c.Self.Address}, zoneReaders...))
+		before = readers[:slices.Index(readers, c.Self.Address)]
 	}
+	ordered = append(ordered, before[:min(len(before), maxPredecessors)]...)
+	predecessors = len(ordered)
 	ordered = append(ordered, StoreSource)
-	// The order of the nodes of other zones differs per node, so that an outage of
-	// the store does not lead all nodes to the same member.
-	for _, a := range slices.Concat(localNodes, hosts.Rank(c.Self.Address, zoneReaders), hosts.Rank(c.Self.Address, others)) {
-		if a != c.Self.Address && !slices.Contains(ordered, a) {
-			ordered = append(ordered, a)
+	// The order of further nodes differs per node, so that an outage of the store does
+	// not lead all nodes to the same member.
+	for _, group := range [][]string{local, zoneReaders, others} {
+		added := 0
+		for _, a := range hosts.Rank(c.Self.Address, group) {
+			if added < maxFallbacks && a != c.Self.Address && !slices.Contains(ordered, a) {
+				ordered = append(ordered, a)
+				added++
+			}
 		}
 	}
-	return ordered
+	return ordered, predecessors
 }
