--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -445,7 +445,7 @@
 	assert.Assert(t, len(b) < peer.MaxMessageBytes, "%d bytes", len(b))
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, err := mergeReply(peer.UpdatesReply{StoreRead: true, EncodedUpdates: [][]byte{b}}, time.Now())
+	_, err := mergeReply(peer.UpdatesReply{StoreRead: true, EncodedUpdates: [][]byte{b}}, time.Now(), nil)
 	runtime.ReadMemStats(&after)
 	assert.Assert(t, errorx.IsOfType(err, errBadUpdate), "%v", err)
 	n := after.TotalAlloc - before.TotalAlloc
--- a/internal/sidecar/fullreply_test.go
+++ b/internal/sidecar/fullreply_test.go
@@ -33,7 +33,7 @@
 	n.updateLog.Reset(relay.Position{Era: 3, Revision: 4}, time.Now())
 	n.updateMu.Unlock()
 	r := <-replies
-	u, err := mergeReply(r, time.Now())
+	u, err := mergeReply(r, time.Now(), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(u.Changes), 0, "the state is that of era 3")
 	assert.Equal(t, u.position(), relay.Position{Era: 3, Revision: 4})
--- a/internal/sidecar/instances.go
+++ b/internal/sidecar/instances.go
@@ -9,17 +9,23 @@
 )
 
 // applyInstances passes the known instances to the components that depend on
-// them.
+// them. What depends on the instances alone is done only if they have changed: with
+// hundreds of them that would be most of a node's work.
 func (n *Node) applyInstances() {
+	n.instancesMu.Lock()
+	defer n.instancesMu.Unlock()
 	v := n.directory.View()
-	n.chooser.SetTargets(n.balanceTargets(v))
-	nodes := map[string]bool{}
-	for _, i := range v.Instances {
-		nodes[i.Address] = true
+	if v != n.appliedView {
+		n.chooser.SetTargets(n.balanceTargets(v))
+		n.appliedView = v
+	}
+	if hosts := n.requestHosts.count(); v.Addresses != n.appliedAddresses || hosts != n.appliedHosts {
+		n.updateSources(v)
+		n.appliedAddresses, n.appliedHosts = v.Addresses, hosts
 	}
-	n.updateSources(v)
-	n.rateLimiter.SetNodeCount(len(nodes))
-	n.configureRetryBudget(len(nodes))
+	nodes := len(v.ByAddress)
+	n.rateLimiter.SetNodeCount(nodes)
+	n.configureRetryBudget(nodes)
 	if i := v.ByAddress[n.settings().BackendAddress]; i != nil {
 		n.admission.SetSlots(i.Slots)
 	}
@@ -31,9 +37,9 @@
 func (n *Node) updateSources(v *fleet.View) {
 	_, port, _ := net.SplitHostPort(n.settings().ControlAddress)
 	var all []relay.Member
-	for _, i := range v.Instances {
-		if host, _, err := net.SplitHostPort(i.Address); err == nil {
-			all = append(all, relay.Member{Address: net.JoinHostPort(host, port), Zone: i.Zone})
+	for address, zone := range v.Addresses.Zones {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			all = append(all, relay.Member{Address: net.JoinHostPort(host, port), Zone: zone})
 		}
 	}
 	addresses := make([]string, 0, len(all))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -104,11 +104,22 @@
 	splitter routeSplitter
 	calls    callGraph
 
+	// instancesMu serializes applyInstances. The chooser has the instances of
+	// appliedView, and the source selector those with appliedAddresses and appliedHosts
+	// request hosts.
+	instancesMu      sync.Mutex
+	appliedView      *fleet.View
+	appliedAddresses *fleet.AddressSet
+	appliedHosts     int
+
 	// updateMu serializes the application of updates and the reading of the full
 	// state for replies.
 	updateMu sync.Mutex
 	// publishedConfig is the configuration in force, in its published form.
 	publishedConfig *PublishedConfig
+	// lastFullState is the full state that was sent last, guarded by fullStateMu.
+	fullStateMu   sync.Mutex
+	lastFullState fullState
 	// updateLog holds recent updates for the nodes that read from this one.
 	updateLog      *relay.Log
 	controlClient  *peer.Client
--- a/internal/sidecar/otherconfigs.go
+++ b/internal/sidecar/otherconfigs.go
@@ -50,5 +50,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return mergeReply(r, time.Time{})
+	return mergeReply(r, time.Time{}, nil)
 }
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -8,6 +8,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"quetzaldock.example/quetzaldock/internal/peer"
+	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 	"quetzaldock.example/quetzaldock/pkg/hosts"
 	"quetzaldock.example/quetzaldock/pkg/relay"
@@ -37,6 +38,10 @@
 // source is older than what is already applied.
 var ErrStale = namespace.NewType("stale")
 
+// errMissingBase means that the patch of a configuration leads from another one than
+// this node has.
+var errMissingBase = namespace.NewType("missing_base")
+
 // errBadUpdate means that an update cannot be encoded or decoded.
 var errBadUpdate = namespace.NewType("bad_update")
 
@@ -129,28 +134,55 @@
 	return nil
 }
 
-// fullReply adds the full state to a reply.
+// A fullState is the full state as it is sent to other nodes, and what it was made of.
+type fullState struct {
+	view      *fleet.View
+	published *PublishedConfig
+	// hidden is the address of an instance that is left out, empty if there is none.
+	hidden string
+	body   []byte
+}
+
+// fullReply adds the full state to a reply. Many nodes ask for it at the same time, so
+// it is encoded once.
 func (n *Node) fullReply(out peer.UpdatesReply) (peer.UpdatesReply, error) {
+	n.fullStateMu.Lock()
+	defer n.fullStateMu.Unlock()
 	n.updateMu.Lock()
-	u := &Update{Published: n.publishedConfig}
+	now := fullState{view: n.directory.View(), published: n.publishedConfig}
+	if n.verifyingRemoval.Load() {
+		// Only this node keeps the instance, see holdLocalRemoval.
+		now.hidden = n.settings().BackendAddress
+	}
 	instances, zonesOut := n.directory.Published()
 	// The state may have changed since the position was read.
 	status := n.updateLog.Status()
 	n.updateMu.Unlock()
+	if old := &n.lastFullState; old.body != nil && old.view == now.view && old.published == now.published && old.hidden == now.hidden {
+		now.body = old.body
+	} else {
+		var err error
+		if now.body, err = now.encode(instances, zonesOut); err != nil {
+			return out, err
+		}
+		n.lastFullState = now
+	}
 	out.Era, out.Revision, out.ConfirmedAgeMs = status.Era, status.Revision, status.Age.Milliseconds()
+	out.Whole, out.EncodedUpdates = true, [][]byte{now.body}
+	return out, nil
+}
+
+func (s *fullState) encode(instances []fleet.Instance, zonesOut map[string]bool) ([]byte, error) {
+	u := &Update{Published: s.published}
 	for _, i := range instances {
-		if n.verifyingRemoval.Load() && i.Address == n.settings().BackendAddress {
-			// Only this node keeps the instance, see holdLocalRemoval.
-			continue
+		if i.Address != s.hidden {
+			u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: i})
 		}
-		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.InstanceSet, Instance: i})
 	}
 	for zone := range zonesOut {
 		u.Changes = append(u.Changes, fleet.Change{Kind: fleet.ZoneOut, Zone: zone})
 	}
-	b, err := encodeUpdate(u)
-	out.Whole, out.EncodedUpdates = true, [][]byte{b}
-	return out, err
+	return encodeUpdate(u)
 }
 
 // nodeSource returns a Source that reads from another node.
@@ -171,7 +203,7 @@
 		}
 		// ConfirmedAgeMs is the age when the reply was sent, not when the request
 		// was.
-		return mergeReply(r, asked.Add(time.Duration(r.WaitedMs)*time.Millisecond-age))
+		return mergeReply(r, asked.Add(time.Duration(r.WaitedMs)*time.Millisecond-age), n.newestConfig())
 	}
 	return Source{
 		List: func(ctx context.Context) (*Update, error) {
@@ -183,8 +215,16 @@
 	}
 }
 
-// mergeReply combines the updates of a reply into one.
-func mergeReply(r peer.UpdatesReply, confirmedAt time.Time) (*Update, error) {
+// newestConfig returns the published configuration that is in force here, or nil.
+func (n *Node) newestConfig() *PublishedConfig {
+	n.updateMu.Lock()
+	defer n.updateMu.Unlock()
+	return n.publishedConfig
+}
+
+// mergeReply combines the updates of a reply into one. newest is the configuration that
+// this node has. The error is errMissingBase if a patch in the reply needs another one.
+func mergeReply(r peer.UpdatesReply, confirmedAt time.Time, newest *PublishedConfig) (*Update, error) {
 	u := &Update{Origin: r.Origin, Era: r.Era, Revision: r.Revision, Full: r.Whole, ConfirmedAt: confirmedAt}
 	for _, b := range r.EncodedUpdates {
 		update, err := decodeUpdate(b)
@@ -192,17 +232,57 @@
 			return nil, err
 		}
 		u.Changes = append(u.Changes, update.Changes...)
-		if update.Published != nil && (u.Published == nil || update.Published.Version > u.Published.Version) {
-			u.Published = update.Published
+		next := update.Published
+		if update.Patch != nil {
+			if next, err = update.Patch.apply(newest); err != nil {
+				return nil, err
+			}
 		}
+		if next == nil {
+			continue
+		}
+		if newest == nil || next.Version > newest.Version {
+			newest = next
+		}
+		// The nodes that read this one may not have the newest configuration yet.
+		u.Published = newest
 	}
 	return u, nil
 }
 
+// apply returns the configuration to which the patch leads, or base if that is as new.
+func (p *ConfigPatch) apply(base *PublishedConfig) (*PublishedConfig, error) {
+	switch {
+	case base == nil:
+		return nil, errMissingBase.New("no configuration, but a patch from version %d", p.From)
+	case base.Version >= p.To:
+		return base, nil
+	case base.Version != p.From:
+		return nil, errMissingBase.New("configuration of version %d, but a patch from version %d", base.Version, p.From)
+	}
+	d, err := p.Document.Apply(&base.Document)
+	if err != nil {
+		return nil, errMissingBase.Wrap(err, "patch from version %d", p.From)
+	}
+	return &PublishedConfig{Version: p.To, Document: *d}, nil
+}
+
+// forReaders returns an update in the form in which other nodes get it. before is the
+// configuration that was in force before the update.
+func (n *Node) forReaders(u *Update, before *PublishedConfig) *Update {
+	out := &Update{Changes: u.Changes, Published: u.Published}
+	if p := u.Published; p != nil && before != nil && before != p && p == n.publishedConfig {
+		if d, ok := config.NewPatch(&before.Document, &p.Document); ok {
+			out.Published, out.Patch = nil, &ConfigPatch{From: before.Version, To: p.Version, Document: *d}
+		}
+	}
+	return out
+}
+
 // recordUpdate adds an update to the log for the nodes that read from this one.
 // If no node reads, the update is not encoded, and a node that starts to read
 // later gets the full state.
-func (n *Node) recordUpdate(u *Update) {
+func (n *Node) recordUpdate(u *Update, before *PublishedConfig) {
 	isRead := n.lastAsked.age(time.Now()) <= readerTimeout
 	switch {
 	case u.Full, !isRead && (len(u.Changes) > 0 || u.Published != nil):
@@ -210,7 +290,7 @@
 	case len(u.Changes) == 0 && u.Published == nil:
 		n.updateLog.Confirm(u.Revision, u.ConfirmedAt)
 	default:
-		b, err := encodeUpdate(&Update{Changes: u.Changes, Published: u.Published})
+		b, err := encodeUpdate(n.forReaders(u, before))
 		if err != nil {
 			n.Log.Error("update cannot be encoded for other nodes, which will read the full state", "error", err)
 			n.updateLog.Reset(u.position(), u.ConfirmedAt)
--- a/internal/sidecar/requesthosts.go
+++ b/internal/sidecar/requesthosts.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// count returns the number of remembered hosts. Hosts are never forgotten.
+func (h *requestHosts) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.all)
+}
+
 // list returns the remembered hosts.
 func (h *requestHosts) list() []string {
 	h.mu.Lock()
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -47,6 +47,9 @@
 	Changes     []fleet.Change
 	// Published is the newest configuration among the changes, or nil.
 	Published *PublishedConfig
+	// Patch, if not nil, leads to the newest configuration. Nodes send it to each other
+	// in place of Published.
+	Patch *ConfigPatch
 	// Origin is the control address of the node that read the update from the store.
 	Origin string `cbor:"-"`
 
@@ -65,6 +68,13 @@
 	DecodeErr error `cbor:"-"`
 }
 
+// A ConfigPatch leads from one published configuration to a newer one.
+type ConfigPatch struct {
+	// From and To are the versions.
+	From, To uint64
+	Document config.Patch
+}
+
 const (
 	// watchWait is how long a watch waits for a change. Nodes that read from this
 	// one consider its state stale a little later, and must then still have time
@@ -148,6 +158,9 @@
 			n.recordPositionLost(reasonCompacted)
 			n.Log.Info("store no longer keeps the history, reading the full state", "source", sourceName(from), "era", position.Era, "after", position.Revision)
 			known = false
+		case known && errorx.IsOfType(err, errMissingBase):
+			n.Log.Info("configuration does not follow on from this node's, reading the full state", "source", sourceName(from), "error", err)
+			known = false
 		case known && errorx.IsOfType(err, ErrEraChanged):
 			n.recordPositionLost(reasonEraChanged)
 			n.Log.Info("store answers in another era, reading the full state", "source", sourceName(from), "era", position.Era, "after", position.Revision)
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -44,10 +44,11 @@
 			n.applyPublishedCold(i)
 		}
 	}
+	before := n.publishedConfig
 	if u.Published != nil {
 		n.applyConfig(u.Published)
 	}
-	n.recordUpdate(u)
+	n.recordUpdate(u, before)
 }
 
 // applyConfig puts a published configuration in force if it is newer than the
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -19,8 +19,14 @@
 	ByAddress map[string]*Instance
 	// ZonesOut holds the zones that take no new requests.
 	ZonesOut map[string]bool
+	// Addresses is the same pointer in successive views whose instances have the same
+	// addresses in the same zones.
+	Addresses *AddressSet
 }
 
+// An AddressSet maps the addresses of instances to their zones.
+type AddressSet struct{ Zones map[string]string }
+
 // Usable reports whether new requests may be sent to the instance.
 func (v *View) Usable(i *Instance) bool {
 	return i.State == Ready && !v.ZonesOut[i.Zone]
@@ -287,11 +293,25 @@
 	for _, all := range v.ByService {
 		slices.SortFunc(all, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	v.Addresses = addressesOf(v, d.view.Load())
 	d.view.Store(v)
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
+// addressesOf returns the addresses of a view, as the pointer of the view before if they
+// are the same.
+func addressesOf(v, before *View) *AddressSet {
+	zones := make(map[string]string, len(v.ByAddress))
+	for address, i := range v.ByAddress {
+		zones[address] = i.Zone
+	}
+	if before != nil && maps.Equal(zones, before.Addresses.Zones) {
+		return before.Addresses
+	}
+	return &AddressSet{Zones: zones}
+}
+
 // startedAfter orders instances that share an address: the one that started last
 // has it. Equal start times are ordered by ID.
 func (i *Instance) startedAfter(o *Instance) bool {
