ratelimit: loans end by the time since boot, not by the time of day

Cause: the expiry of a loan was also compared by the time of day, so that a jump forward (clock_step) made the borrowed tokens of a node unspendable. The time since boot serves the purpose of that comparison, a host that was suspended, and does not jump.

--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -23,7 +23,6 @@
 type accountLimiter struct {
 	rateLimiter   *ratelimit.Limiter
 	controlClient *peer.Client
-	now           func() time.Time
 	// selfAddress is the control address of this node.
 	selfAddress string
 	// nodeAddresses holds the control addresses of the nodes beside instances.
@@ -37,7 +36,7 @@
 	if ok || !l.rateLimiter.ShouldBorrow(account) {
 		return ok, after
 	}
-	askedAt := l.now()
+	askedAt := l.rateLimiter.Moment()
 	tokens, wait := l.requestTokens(ctx, account)
 	if l.rateLimiter.AcceptLoan(account, tokens, wait, askedAt) {
 		return true, 0
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -252,7 +252,7 @@
 	n.chooser = balance.New(s.Zone)
 	n.retryBudget = balance.NewRetryBudget()
 	n.rateLimiter = ratelimit.New(ratelimit.Tolerance{OverageRatio: n.Bounds.QuotaOverage, SlackRequests: n.Bounds.QuotaSlack})
-	n.accountLimits = &accountLimiter{rateLimiter: n.rateLimiter, controlClient: n.controlClient, now: time.Now, selfAddress: s.ControlAddress}
+	n.accountLimits = &accountLimiter{rateLimiter: n.rateLimiter, controlClient: n.controlClient, selfAddress: s.ControlAddress}
 	n.admission = priorityadmission.New()
 	n.admission.SetClosed(priorityadmission.Starting)
 	n.remoteNodes = newRemoteNodes(&n.HeaderNames, &n.calls, time.Now)
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -58,7 +58,10 @@
 // A Limiter admits this node's share of each account's limit. Its exported
 // fields must be set before the first call. It is safe for concurrent use.
 type Limiter struct {
-	Now       func() time.Time
+	Now func() time.Time
+	// SinceBoot returns the time since the host was booted, suspensions included.
+	// Unlike the time of day it does not jump.
+	SinceBoot func() time.Duration
 	Tolerance Tolerance
 
 	mu     sync.Mutex
@@ -100,7 +103,7 @@
 
 // New returns a Limiter without limits, for a fleet of one node.
 func New(t Tolerance) *Limiter {
-	return &Limiter{Now: time.Now, Tolerance: t, buckets: map[string]*Bucket{}, strictBuckets: map[string]*Bucket{}, pools: map[string]*Bucket{}, nodeCount: 1}
+	return &Limiter{Now: time.Now, SinceBoot: sinceBoot, Tolerance: t, buckets: map[string]*Bucket{}, strictBuckets: map[string]*Bucket{}, pools: map[string]*Bucket{}, nodeCount: 1}
 }
 
 // Configure replaces the limits of all accounts.
@@ -211,7 +214,7 @@
 		b.Admitted++
 		return true, 0
 	}
-	if l.spendLoan(account, l.Now()) {
+	if l.spendLoan(account, l.Moment()) {
 		return true, 0
 	}
 	b.Refused++
--- a/pkg/ratelimit/limiter_test.go
+++ b/pkg/ratelimit/limiter_test.go
@@ -17,6 +17,8 @@
 // A fleet is a number of nodes that share one clock. The first node is the
 // lending node.
 type fleet struct {
+	// suspended is how long the hosts have been suspended.
+	suspended time.Duration
 	now   time.Time
 	nodes []*ratelimit.Limiter
 	// cutOff is set while no node can reach the lending node.
@@ -36,6 +38,7 @@
 func (f *fleet) newLimiter(n int, l ratelimit.Limit) *ratelimit.Limiter {
 	limiter := ratelimit.New(tolerance)
 	limiter.Now = func() time.Time { return f.now }
+	limiter.SinceBoot = func() time.Duration { return f.now.Sub(time.Unix(0, 0)) + f.suspended }
 	limiter.SetNodeCount(n)
 	limiter.Configure(map[string]ratelimit.Limit{"club": l})
 	return limiter
@@ -66,7 +69,7 @@
 		return ok
 	}
 	tokens, retryAfter := f.nodes[0].Lend("club")
-	return borrower.AcceptLoan("club", tokens, retryAfter, f.now)
+	return borrower.AcceptLoan("club", tokens, retryAfter, borrower.Moment())
 }
 
 // maxAdmitted returns the largest number of admissions within any window.
@@ -117,6 +120,23 @@
 	}
 }
 
+// Guards against a loan that is spent after a suspension of the host, in which the steady
+// clock stands still, and against new loans that cannot be spent afterwards.
+func TestLoanDoesNotOutliveASuspension(t *testing.T) {
+	f := newFleet(13, ratelimit.Limit{Rate: 10, Burst: 10})
+	limiter := f.nodes[1]
+	for ok := true; ok; {
+		ok, _ = limiter.Take("club")
+	}
+	assert.Assert(t, limiter.AcceptLoan("club", 3, 0, limiter.Moment()))
+	f.suspended = 5 * time.Second
+	ok, _ := limiter.Take("club")
+	assert.Assert(t, !ok, "a token of an old loan")
+	assert.Assert(t, limiter.AcceptLoan("club", 2, 0, limiter.Moment()))
+	ok, _ = limiter.Take("club")
+	assert.Assert(t, ok, "a token of a new loan")
+}
+
 // Guards against a node that was stopped or suspended and then spends an old
 // loan.
 func TestOldLoansAreNotSpent(t *testing.T) {
@@ -129,7 +149,7 @@
 		}
 	}
 	assert.Assert(t, limiter.ShouldBorrow("club"))
-	assert.Assert(t, limiter.AcceptLoan("club", 2, 0, f.now))
+	assert.Assert(t, limiter.AcceptLoan("club", 2, 0, limiter.Moment()))
 	f.now = f.now.Add(1100 * time.Millisecond)
 	admitted := 0
 	for {
@@ -139,7 +159,7 @@
 		admitted++
 	}
 	assert.Assert(t, admitted <= 1, "%d tokens from the node's own share in 1.1 s", admitted)
-	assert.Assert(t, !limiter.AcceptLoan("club", 0, 300*time.Millisecond, f.now))
+	assert.Assert(t, !limiter.AcceptLoan("club", 0, 300*time.Millisecond, limiter.Moment()))
 	assert.Assert(t, !limiter.ShouldBorrow("club"))
 	f.now = f.now.Add(300 * time.Millisecond)
 	assert.Assert(t, limiter.ShouldBorrow("club"))
--- a/pkg/ratelimit/pool.go
+++ b/pkg/ratelimit/pool.go
@@ -20,9 +20,9 @@
 	// loanDuration is how long a loan may be spent, so that a process that was
 	// stopped for a while does not spend an old one.
 	loanDuration = time.Second
-	// maxClockDivergence is how much longer a loan may last by the wall clock
-	// than by the monotonic clock, which stops while the host is suspended.
-	maxClockDivergence = 100 * time.Millisecond
+	// maxSuspension is how much longer a loan may last by the time since boot than by
+	// the steady clock, which stops while the host is suspended.
+	maxSuspension = 100 * time.Millisecond
 )
 
 // pooledShare returns the share of an account's limit that its lending node
@@ -34,14 +34,14 @@
 // A loan is a number of tokens that this node has borrowed from a pool.
 type loan struct {
 	tokens    float64
-	expiresAt time.Time
+	expiresAt Moment
 	// poolEmptyUntil is the time until which the pool is known to be empty.
 	poolEmptyUntil time.Time
 }
 
 // spendable reports whether a token of the loan may be spent.
-func (l *loan) spendable(now time.Time) bool {
-	return l.tokens >= 1 && now.Before(l.expiresAt) && now.Round(0).Before(l.expiresAt.Round(0).Add(maxClockDivergence))
+func (l *loan) spendable(now Moment) bool {
+	return l.tokens >= 1 && now.Steady.Before(l.expiresAt.Steady) && now.SinceBoot < l.expiresAt.SinceBoot+maxSuspension
 }
 
 // ShouldBorrow reports whether this node should ask the account's lending node
@@ -80,7 +80,7 @@
 
 // AcceptLoan records the answer of an account's lending node to a request sent
 // at askedAt and spends one of the tokens. It reports whether there was one.
-func (l *Limiter) AcceptLoan(account string, tokens int, retryAfter time.Duration, askedAt time.Time) bool {
+func (l *Limiter) AcceptLoan(account string, tokens int, retryAfter time.Duration, askedAt Moment) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.loans == nil {
@@ -91,20 +91,20 @@
 		o = &loan{}
 		l.loans[account] = o
 	}
-	now := l.Now()
+	now := l.Moment()
 	if tokens < 1 {
-		o.poolEmptyUntil = now.Add(retryAfter)
+		o.poolEmptyUntil = now.Steady.Add(retryAfter)
 		return false
 	}
 	if !o.spendable(now) {
 		o.tokens = 0
 	}
-	o.tokens, o.expiresAt = o.tokens+float64(tokens), askedAt.Add(loanDuration)
+	o.tokens, o.expiresAt = o.tokens+float64(tokens), askedAt.add(loanDuration)
 	return l.spendLoan(account, now)
 }
 
 // spendLoan spends a borrowed token. The caller holds the mutex.
-func (l *Limiter) spendLoan(account string, now time.Time) bool {
+func (l *Limiter) spendLoan(account string, now Moment) bool {
 	o := l.loans[account]
 	if o == nil || !o.spendable(now) {
 		return false
