--- a/pkg/ratelimit/limiter_test.go
+++ b/pkg/ratelimit/limiter_test.go
@@ -19,8 +19,8 @@
 type fleet struct {
 	// suspended is how long the hosts have been suspended.
 	suspended time.Duration
-	now   time.Time
-	nodes []*ratelimit.Limiter
+	now       time.Time
+	nodes     []*ratelimit.Limiter
 	// cutOff is set while no node can reach the lending node.
 	cutOff bool
 	// admitted holds the times of all admissions.
