sidecar: nodes of earlier builds get the full state in place of patches

A node that does not know patches would have ignored them and kept its version. It does not state Reader, and gets the full state when a patch is due.

--- a/internal/sidecar/configpatch_test.go
+++ b/internal/sidecar/configpatch_test.go
@@ -36,8 +36,12 @@
 		next.Document.Routes[int(version)].TimeoutMs = 100 + int(version)
 		source.applyUpdate(&Update{Revision: version, ConfirmedAt: time.Now(), Published: next})
 	}
+	// A node of an earlier build, which does not know patches, gets everything.
 	r, err := source.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 1})
 	assert.NilError(t, err)
+	assert.Assert(t, r.Whole)
+	r, err = source.serveUpdates(t.Context(), peer.UpdatesRequest{AfterRevision: 1, Reader: "127.0.0.1:10"})
+	assert.NilError(t, err)
 	assert.Equal(t, len(r.EncodedUpdates), 9)
 	size := 0
 	for _, b := range r.EncodedUpdates {
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -90,7 +91,8 @@
 			// The asking node learns at once that it cannot read this one, or that this
 			// one knows only what it was told by the asking node.
 			return out, nil
-		case q.Whole || !ok:
+		case q.Whole || !ok, q.Reader == "" && slices.ContainsFunc(entries, func(e relay.Entry) bool { return e.IsPatch }):
+			// Nodes of builds that do not know patches do not state Reader.
 			return n.fullReply(out)
 		case len(entries) > 0:
 			for _, e := range entries {
@@ -290,12 +292,13 @@
 	case len(u.Changes) == 0 && u.Published == nil:
 		n.updateLog.Confirm(u.Revision, u.ConfirmedAt)
 	default:
-		b, err := encodeUpdate(n.forReaders(u, before))
+		out := n.forReaders(u, before)
+		b, err := encodeUpdate(out)
 		if err != nil {
 			n.Log.Error("update cannot be encoded for other nodes, which will read the full state", "error", err)
 			n.updateLog.Reset(u.position(), u.ConfirmedAt)
 			return
 		}
-		n.updateLog.Append(relay.Entry{Revision: u.Revision, Body: b}, u.ConfirmedAt)
+		n.updateLog.Append(relay.Entry{Revision: u.Revision, Body: b, IsPatch: out.Patch != nil}, u.ConfirmedAt)
 	}
 }
--- a/internal/sidecar/steadytime.go
+++ b/internal/sidecar/steadytime.go
@@ -5,11 +5,13 @@
 	"time"
 )
 
-// steadyOrigin is the origin of every steadyTime.
-var steadyOrigin = time.Now()
+// steadyOrigin is the origin of every steadyTime. It lies so long before the start of
+// the process that a zero steadyTime is older than every time that is waited for.
+var steadyOrigin = time.Now().Add(-time.Hour)
 
 // A steadyTime is a time of the steady clock that several goroutines use. A jump of the
-// time of day does not change its age. Its zero value is the start of the process.
+// time of day does not change its age. Its zero
+// value means never.
 type steadyTime struct{ sinceOrigin atomic.Int64 }
 
 func (s *steadyTime) set(t time.Time) { s.sinceOrigin.Store(int64(t.Sub(steadyOrigin))) }
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -30,6 +30,8 @@
 	Revision uint64
 	// Body is the encoded update.
 	Body []byte
+	// IsPatch states that the update can be used only with the one before it.
+	IsPatch bool
 }
 
 // A Log holds recent updates of one era. Its exported fields are set before the first call.
