sidecar: wait longer for tokens of an account's limit, and say why one is refused

Cause: a node asked the lending node of a small account for 60 ms and then refused the request with 429, and all others of the account for 250 ms.

Change: up to 400 ms, a quarter of the time left at most; 60 ms for a lending node that has just been silent. The log line of a refused request says whether the share is spent, the pool empty or the lending node silent.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -306,8 +306,8 @@
 	if j.account == "" {
 		return nil
 	}
-	if ok, after := s.accountLimits.takeToken(ctx, j.account); !ok {
-		return &rejection{http.StatusTooManyRequests, "RateExceeded", "", after}
+	if ok, after, detail := s.accountLimits.takeToken(ctx, j.account); !ok {
+		return &rejection{http.StatusTooManyRequests, "RateExceeded", detail, after}
 	}
 	if j.overLimit = s.accountLimits.rateLimiter.ChargeShare(j.account); j.overLimit {
 		j.priority += overLimitPriority
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,8 +12,17 @@
 )
 
 const (
-	// tokenTimeout limits one request for tokens. It usually takes about 2 ms.
-	tokenTimeout = 60 * time.Millisecond
+	// tokenTimeout limits one request for tokens. It usually takes about 2 ms, but on a
+	// host whose link is full of long responses several hundred. A caller that waits is
+	// served better than one that is refused although its account is within its limit.
+	tokenTimeout = 400 * time.Millisecond
+	// silentTokenTimeout is the limit for a lending node whose last answer did not
+	// arrive in time, for silentFor.
+	silentTokenTimeout = 60 * time.Millisecond
+	silentFor          = 2 * time.Second
+	// tokenWaitDivisor bounds the wait for tokens to a part of the time that the caller
+	// has left.
+	tokenWaitDivisor = 4
 	// tokenRetryDelay is how long a lending node that did not answer is not asked
 	// again.
 	tokenRetryDelay = 250 * time.Millisecond
@@ -27,38 +37,83 @@
 	selfAddress string
 	// nodeAddresses holds the control addresses of the nodes beside instances.
 	nodeAddresses atomic.Pointer[[]string]
+	// details holds, by account, why the last question to its lending node brought no
+	// token.
+	details sync.Map
+	// silentSince holds, by address, when a lending node did not answer, until it does.
+	silentSince sync.Map
 }
 
+// Why a request is refused for its account's limit, in logs.
+const (
+	// detailShareSpent: this node's share is spent, and the account has no pool.
+	detailShareSpent = "share spent"
+	// detailPoolEmpty: the pool has no token, now or when it was asked a moment ago.
+	detailPoolEmpty = "pool empty"
+	// detailNoLender: the lending node does not answer, or did not a moment ago.
+	detailNoLender = "lending node does not answer"
+)
+
 // takeToken charges one request. If there is no token, it returns after which
-// time there may be one.
-func (l *accountLimiter) takeToken(ctx context.Context, account string) (bool, time.Duration) {
-	ok, after := l.rateLimiter.Take(account)
-	if ok || !l.rateLimiter.ShouldBorrow(account) {
-		return ok, after
+// time there may be one, and the reason in a few words.
+func (l *accountLimiter) takeToken(ctx context.Context, account string) (ok bool, after time.Duration, detail string) {
+	ok, after = l.rateLimiter.Take(account)
+	switch {
+	case ok:
+		return true, 0, ""
+	case !l.rateLimiter.HasPool(account):
+		return false, after, detailShareSpent
+	case !l.rateLimiter.ShouldBorrow(account):
+		return false, after, l.lastDetail(account)
 	}
 	askedAt := l.rateLimiter.Moment()
-	tokens, wait := l.requestTokens(ctx, account)
+	tokens, wait, detail := l.requestTokens(ctx, account)
 	if l.rateLimiter.AcceptLoan(account, tokens, wait, askedAt) {
-		return true, 0
+		return true, 0, ""
+	}
+	l.details.Store(account, detail)
+	return false, min(after, wait), detail
+}
+
+// lastDetail returns why the last question to the account's lending node brought no
+// token.
+func (l *accountLimiter) lastDetail(account string) string {
+	if d, ok := l.details.Load(account); ok {
+		return d.(string)
 	}
-	return false, min(after, wait)
+	return detailPoolEmpty
 }
 
 // requestTokens asks the account's lending node for tokens.
-func (l *accountLimiter) requestTokens(ctx context.Context, account string) (int, time.Duration) {
+func (l *accountLimiter) requestTokens(ctx context.Context, account string) (tokens int, wait time.Duration, detail string) {
 	to := l.lendingNode(account)
 	if to == "" || to == l.selfAddress {
-		return l.rateLimiter.Lend(account)
+		tokens, wait = l.rateLimiter.Lend(account)
+		return tokens, wait, detailPoolEmpty
 	}
-	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.timeoutFor(ctx, to))
 	defer cancel()
 	r, err := l.controlClient.Tokens(ctx, hosts.Host{ID: to, ControlAddress: to}, peer.TokensRequest{Account: account})
 	if err != nil {
+		l.silentSince.Store(to, time.Now())
 		// This node's own share stays usable. Logging each failure would flood
 		// the log.
-		return 0, tokenRetryDelay
+		return 0, tokenRetryDelay, detailNoLender
+	}
+	l.silentSince.Delete(to)
+	return r.Tokens, time.Duration(r.RetryAfterMs) * time.Millisecond, detailPoolEmpty
+}
+
+// timeoutFor returns how long a request of a caller waits for tokens of a lending node.
+func (l *accountLimiter) timeoutFor(ctx context.Context, lender string) time.Duration {
+	timeout := tokenTimeout
+	if since, ok := l.silentSince.Load(lender); ok && time.Since(since.(time.Time)) < silentFor {
+		timeout = silentTokenTimeout
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/tokenWaitDivisor)
 	}
-	return r.Tokens, time.Duration(r.RetryAfterMs) * time.Millisecond
+	return timeout
 }
 
 // lendingNode returns the control address of the node that holds an account's pool.
--- a/internal/sidecar/steadytime.go
+++ b/internal/sidecar/steadytime.go
@@ -10,8 +10,7 @@
 var steadyOrigin = time.Now().Add(-time.Hour)
 
 // A steadyTime is a time of the steady clock that several goroutines use. A jump of the
-// time of day does not change its age. Its zero
-// value means never.
+// time of day does not change its age. Its zero value means never.
 type steadyTime struct{ sinceOrigin atomic.Int64 }
 
 func (s *steadyTime) set(t time.Time) { s.sinceOrigin.Store(int64(t.Sub(steadyOrigin))) }
--- a/pkg/ratelimit/pool.go
+++ b/pkg/ratelimit/pool.go
@@ -44,13 +44,24 @@
 	return l.tokens >= 1 && now.Steady.Before(l.expiresAt.Steady) && now.SinceBoot < l.expiresAt.SinceBoot+maxSuspension
 }
 
+// HasPool reports whether part of the account's limit is pooled at its lending node.
+func (l *Limiter) HasPool(account string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasPool(account)
+}
+
+func (l *Limiter) hasPool(account string) bool {
+	limit := l.limits[account]
+	return limit.Rate > 0 && pooledShare(limit, l.nodeCount) > 0
+}
+
 // ShouldBorrow reports whether this node should ask the account's lending node
 // for tokens after Take has failed.
 func (l *Limiter) ShouldBorrow(account string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit, ok := l.limits[account]
-	if !ok || limit.Rate <= 0 || pooledShare(limit, l.nodeCount) <= 0 {
+	if !l.hasPool(account) {
 		return false
 	}
 	o := l.loans[account]
