balance: a failing host is no resort for calls that others had no room for

Cause: where all sound hosts refused a request as full, the next choice was a host that is ejected or does not accept work.

Change: PickWithZoneCost picks such a host only if none of the excluded ones is sound. Pick, which the node command uses, is as before.

Test: TestFailingHostIsNoResortForCallsWithoutRoom failed before.

--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -112,13 +112,15 @@
 // PickWithZoneCost is Pick for calls that are more expensive in another zone.
 // crossZoneCost is the additional cost in units of the typical latency: a host of
 // another zone is picked if its estimated cost is lower by more than that. full
-// means that, as far as is known, the host has no free permit.
+// means that, as far as is known, the host has no free permit. Hosts that are ejected or
+// not accepting work are not picked after others, which the exclude list names: a call
+// that those had no room for is better refused or queued.
 func (c *Chooser) PickWithZoneCost(service string, exclude []string, crossZoneCost float64) (t Target, full, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
 	all := c.eligible(service, exclude, now)
-	if len(all) == 0 {
+	if len(all) == 0 || c.onlyFailing(all, exclude, now) {
 		return Target{}, false, false
 	}
 	inZone := c.inZone(all)
@@ -151,7 +153,7 @@
 		if h.OutOfService || h.Leaving || contains(exclude, h.ID) {
 			continue
 		}
-		if now.Before(h.ejectedUntil) || now.Before(h.notAcceptingUntil) || !c.passesRamp(h, now) {
+		if h.isFailing(now) || !c.passesRamp(h, now) {
 			reserve = append(reserve, h)
 			continue
 		}
@@ -163,6 +165,27 @@
 	return available
 }
 
+// onlyFailing reports whether all hosts of the list are ejected or not accepting work
+// while one of the excluded hosts is not.
+func (c *Chooser) onlyFailing(hosts []*hostState, exclude []string, now time.Time) bool {
+	for _, h := range hosts {
+		if !h.isFailing(now) {
+			return false
+		}
+	}
+	for _, id := range exclude {
+		if h := c.hosts[id]; h != nil && !h.OutOfService && !h.Leaving && !h.isFailing(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// isFailing reports whether the host is ejected or does not accept work.
+func (h *hostState) isFailing(now time.Time) bool {
+	return now.Before(h.ejectedUntil) || now.Before(h.notAcceptingUntil)
+}
+
 func contains(ids []string, id string) bool {
 	for _, e := range ids {
 		if e == id {
--- a/pkg/balance/zonecost_test.go
+++ b/pkg/balance/zonecost_test.go
@@ -100,3 +100,23 @@
 	now = now.Add(20 * time.Second)
 	assert.Equal(t, countPicks(c, 5)["far"], 0)
 }
+
+// Guards against calls that full hosts refused and that then wait at a host which is
+// known to answer nothing, and against a call that no host gets although one is left.
+func TestFailingHostIsNoResortForCallsWithoutRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newDeskChooser(&now, Target{ID: "full", Zone: "surco"}, Target{ID: "silent", Zone: "surco"})
+	c.CallStarted("silent")
+	c.CallFinished("silent", NotAccepting, Load{})
+	c.CallStarted("full")
+	c.CallFinished("full", Overloaded, Load{})
+	_, _, ok := c.PickWithZoneCost("desk", []string{"full"}, 0)
+	assert.Assert(t, !ok)
+	c.CallStarted("full")
+	c.CallFinished("full", NotAccepting, Load{})
+	to, _, ok := c.PickWithZoneCost("desk", []string{"full"}, 0)
+	assert.Assert(t, ok && to.ID == "silent")
+	now = now.Add(4 * time.Second)
+	to, _, ok = c.PickWithZoneCost("desk", []string{"full"}, 0)
+	assert.Assert(t, ok && to.ID == "silent", "a host that returns")
+}
