sidecar: repeatable requests at a node that answers nothing go elsewhere

Change: a request that waits for twice the typical latency, 250 ms at least, at a node that has answered nothing meanwhile asks whether it still answers; without an answer in 350 ms it is given up, the node is avoided for 3 s, and the request is sent elsewhere within attempts and budget. Requests that may run once only wait as before. Nodes that are only slow answer the question.

Tests: TestRequestsAtAHostThatStandsStillGoElsewhere failed before (504); TestSlowRequestAtANodeThatAnswersIsNotGivenUp.

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -221,6 +221,25 @@
 	return nil
 }
 
+// Answers opens a connection and reports whether the peer answers "OPTIONS *" on it
+// before ctx ends. The connection is kept for later requests.
+func (p *Pool) Answers(ctx context.Context) bool {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return false
+	}
+	limit := dialTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline)
+	}
+	if !c.probeWithin(limit) {
+		p.discard(c)
+		return false
+	}
+	p.putIdle(c)
+	return true
+}
+
 // wrapDialError returns a DialRefused or other NotSent error for a failed dial.
 func wrapDialError(err error) error {
 	switch {
@@ -277,7 +296,11 @@
 // probe sends "OPTIONS *" and reports whether a short response arrives in time,
 // nothing follows it and the connection stays open.
 func (c *conn) probe() bool {
-	_ = c.SetDeadline(time.Now().Add(probeTimeout))
+	return c.probeWithin(probeTimeout)
+}
+
+func (c *conn) probeWithin(limit time.Duration) bool {
+	_ = c.SetDeadline(time.Now().Add(limit))
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
 	if _, err := c.writer.WriteString("OPTIONS * HTTP/1.1\r\nHost: probe\r\n\r\n"); err != nil {
 		return false
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -187,9 +187,7 @@
 		Original: j.original, Header: j.header, Body: j.body.Next(), BodyLength: j.original.ContentLength,
 		Instance: to.ID, Deadline: j.deadline, Objective: j.objective, Priority: j.priority, Nested: j.nested,
 		Repeatable: j.repeatable, NoWait: !wait, Fingerprint: j.fingerprint,
-	}
-	if r.NoWait {
-		r.TypicalLatency = d.chooser.TypicalLatency(t.service)
+		TypicalLatency: d.chooser.TypicalLatency(t.service),
 	}
 	t.tried = append(t.tried, to.ID)
 	j.instances = append(j.instances, to.ID)
@@ -351,7 +349,7 @@
 		return balance.Canceled
 	case errors.As(err, &f) && f.Reason == priorityadmission.Unreachable:
 		return balance.Failed
-	case errors.As(err, &f) && (f.Reason.RefusesAllWork() || f.Reason == "BadHeader"):
+	case errors.As(err, &f) && (f.Reason.RefusesAllWork() || f.Reason == "BadHeader"), errors.Is(err, errNodeSilent):
 		return balance.NotAccepting
 	case errors.As(err, &f):
 		return balance.Overloaded
--- a/internal/sidecar/remotenodes.go
+++ b/internal/sidecar/remotenodes.go
@@ -57,6 +57,8 @@
 	pools http1.PoolMap[string]
 	now   func() time.Time
 	calls *callGraph
+	// silence gives up repeatable requests at nodes that answer nothing.
+	silence silenceDetector
 }
 
 func newRemoteNodes(names *HeaderNames, calls *callGraph, now func() time.Time) *remoteNodes {
@@ -67,6 +69,7 @@
 			Dial: func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, address) },
 		}
 	}
+	p.silence.answers = func(ctx context.Context, address string) bool { return p.pools.Pool(address).Answers(ctx) }
 	return p
 }
 
@@ -78,11 +81,15 @@
 	send := pool.DoNonIdempotent
 	if r.Repeatable {
 		send = pool.Do
+		watched, stop := p.silence.watch(ctx, to.CallAddress, r.TypicalLatency)
+		defer stop()
+		ctx = watched
 	}
 	a, err := send(ctx, r.httpRequest(r.headersForNode(p.names, p.now())))
 	if err != nil {
 		return nil, balance.Load{}, p.classifyError(ctx, pool, err)
 	}
+	p.silence.heard(to.CallAddress)
 	l, ok := parseLoad(a.Header.Get(call.HeaderLoad))
 	if !ok {
 		_ = a.Body.Close()
--- /dev/null
+++ b/internal/sidecar/silence_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// listenSilently accepts connections at an address and answers nothing, as a host that
+// stands still.
+func listenSilently(t *testing.T, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}()
+}
+
+// Guards against requests that wait until their time limit at a host that stands still
+// although other instances could run them, and against a request that is sent there
+// again by the next one.
+func TestRequestsAtAHostThatStandsStillGoElsewhere(t *testing.T) {
+	m := newMesh(t, 2)
+	still := nextLoopbackHost()
+	listenSilently(t, still+":"+testCallPort)
+	gone := m.backends[1].instanceChange("surco")
+	gone.Instance.ID, gone.Instance.Address, gone.Instance.Born = "i-still", still+":9", 1
+	m.store.publish(nil, gone)
+	n := m.nodes[0]
+	waitFor(t, "three instances", func() bool { return len(n.chooser.HostStatuses()) == 3 })
+	slow := 0
+	for range 40 {
+		began := time.Now()
+		a := m.send(t, 0, http.MethodGet, "/list/a")
+		took := time.Since(began)
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		assert.Assert(t, took < 1200*time.Millisecond, "%s", took)
+		if took > 200*time.Millisecond {
+			slow++
+		}
+	}
+	assert.Assert(t, slow <= 2, "%d of 40 requests waited", slow)
+}
+
+// Guards against a request that is given up at a node which is only slow, and runs twice.
+func TestSlowRequestAtANodeThatAnswersIsNotGivenUp(t *testing.T) {
+	m := newMesh(t, 2)
+	for _, b := range m.backends {
+		b.handle = func(http.ResponseWriter, *http.Request) { time.Sleep(1100 * time.Millisecond) }
+	}
+	for range 4 {
+		before := m.runs()
+		assert.Equal(t, m.send(t, 0, http.MethodGet, "/list/a").status, http.StatusOK)
+		assert.Equal(t, m.runs()-before, 1)
+	}
+}
