--- /dev/null
+++ b/pkg/priorityadmission/wait.go
@@ -0,0 +1,90 @@
+package priorityadmission
+
+import "time"
+
+// newWaiter returns the queue entry of a request. A request with an objective
+// waits only for a limited time: in an overload, one that cannot be answered
+// within its objective is behind those that can, and would mostly wait for long
+// and then be refused. A nested request is not refused for its objective: without
+// it the request that made it fails, although it has run for some time.
+func (c *Controller) newWaiter(req Request, now time.Time) *waiter {
+	expected := c.durations.of(req.Class)
+	w := &waiter{request: req, seq: c.seq, expected: expected.mean, ready: make(chan struct{})}
+	w.startBy = req.Deadline.Add(-expected.mean / minRunTimeDivisor)
+	w.maxWait = req.Deadline.Sub(now) / maxWaitDivisor
+	dueStart := w.startBy
+	if !req.Objective.IsZero() {
+		dueStart = earlier(dueStart, now.Add(w.maxWait))
+		if !req.Nested {
+			w.startBy = dueStart
+		}
+		dueStart = earlier(dueStart, req.Objective.Add(-expected.mean-expected.deviation))
+	}
+	w.objectiveStartBy = dueStart
+	if req.Nested {
+		w.objectiveStartBy = w.startBy
+	}
+	w.order = orderTime(req, dueStart.Add(longWorkDelay*expected.mean))
+	return w
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// exceedsObjective reports whether the mean duration exceeds the time left
+// until the objective of the request. It is false once the objective has passed,
+// and on an idle server, so that one request at a time can measure whether the
+// server is still slow.
+func (c *Controller) exceedsObjective(req Request, now time.Time) bool {
+	return c.running > 0 && req.Objective.After(now) && now.Add(c.durations.of(req.Class).mean).After(req.Objective)
+}
+
+// servesOverdue reports whether enough of the recent overdue requests got a
+// slot for another one to be queued.
+func (c *Controller) servesOverdue(now time.Time) bool {
+	return c.overdueServedRatio >= minOverdueServedRatio || now.Sub(c.overdueServedAt) > overdueRatioExpiry
+}
+
+// recordOverdue records whether an overdue request got a slot.
+func (c *Controller) recordOverdue(w *waiter, served bool, now time.Time) {
+	if !w.overdue {
+		return
+	}
+	outcome := 0.0
+	if served {
+		outcome = 1
+	}
+	if now.Sub(c.overdueServedAt) > overdueRatioExpiry {
+		c.overdueServedRatio = max(c.overdueServedRatio, minOverdueServedRatio)
+	}
+	c.overdueServedRatio += overdueOutcomeWeight * (outcome - c.overdueServedRatio)
+	c.overdueServedAt = now
+}
+
+// estimateWait returns how long a new request would wait for a slot.
+func (c *Controller) estimateWait(w *waiter, now time.Time) time.Duration {
+	ahead, work := 1, c.meanRunning()
+	for _, o := range c.waiting {
+		if o.before(w) {
+			ahead++
+			work += o.expected
+		}
+	}
+	wait := work / time.Duration(c.slots)
+	if c.isCold(now) {
+		wait = max(wait, time.Duration(float64(ahead)/c.coldRate*float64(time.Second)))
+	}
+	return wait
+}
+
+// meanRunning returns the mean duration of the running requests.
+func (c *Controller) meanRunning() time.Duration {
+	if c.running == 0 {
+		return c.durations.all.mean
+	}
+	return c.runningWork / time.Duration(c.running)
+}
