relay: a silent node is asked again briefly and seldom; answers may queue at a full link

Cause: after a node had not answered, it was asked again 0.1 to 0.5 s later, for 0.95 s, so that the state of the asking node, and of all that read it, became stale again and again.

Change: RecordSilence rests a silent node for 1 to 4 s, and the next read of a node that failed is a short one. Grace 0.4 s; watches last 0.45 s in place of 0.6 s, so that a silent node is given up after 0.9 s. The store is taken over 0.2 s later for each node that ranks before.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -5,7 +5,7 @@
 // UpdatesTimeoutMargin is the time that an Updates call may take beyond
 // UpdatesRequest.WaitMs. A full reply takes a few hundred milliseconds on a busy
 // host.
-const UpdatesTimeoutMargin = 300 * time.Millisecond
+const UpdatesTimeoutMargin = 450 * time.Millisecond
 
 // An UpdatesRequest asks a node for the updates that it received from the
 // platform's store.
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -24,7 +24,7 @@
 	// is not read: it has lost the store itself. It is longer than a watch, and
 	// at most half of the time after which a leaving instance must get no new
 	// requests.
-	maxRelayAge = watchWait + 300*time.Millisecond
+	maxRelayAge = 2 * watchWait
 	// readerTimeout is the time without a request after which a node is no longer
 	// assumed to read from this one. It allows for a slow host.
 	readerTimeout = 3 * maxRelayWait
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"quetzaldock.example/quetzaldock/internal/peer"
 	"quetzaldock.example/quetzaldock/pkg/config"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
 	"quetzaldock.example/quetzaldock/pkg/relay"
@@ -79,19 +80,17 @@
 	// watchWait is how long a watch waits for a change. Nodes that read from this
 	// one consider its state stale a little later, and must then still have time
 	// to read the store themselves.
-	watchWait = 600 * time.Millisecond
+	watchWait = 450 * time.Millisecond
 	// watchGrace is how long after its wait a watch may still return. A later
 	// return means that the connection has gone silent.
 	watchGrace = 400 * time.Millisecond
 	// nodeGrace is the same for a node, and staleGrace if this node's own state is
-	// already stale.
-	nodeGrace  = 300 * time.Millisecond
-	staleGrace = 250 * time.Millisecond
+	// already stale. Answers wait some tenths of a second at a link that is full of
+	// long responses.
+	nodeGrace  = 400 * time.Millisecond
+	staleGrace = 400 * time.Millisecond
 	// listTimeout limits a listing of all entries, which takes several pages.
-	// nodeListTimeout limits the reading of the full state from another node, which
-	// may stand still.
-	listTimeout     = 3 * time.Second
-	nodeListTimeout = time.Second
+	listTimeout = 3 * time.Second
 	// unreadWarningDelay is how long all sources must fail before a warning is
 	// logged.
 	unreadWarningDelay = time.Second
@@ -174,8 +173,9 @@
 	}
 }
 
-// takeoverWait is how long a watch waits while this node's state is stale: other nodes
-// wait for it to be current again.
+// takeoverWait is how long a watch waits while this node's state is stale, since other
+// nodes wait for it to be current again, and one of a node whose last read failed: if
+// that stands still, this node's state must not become stale meanwhile.
 const takeoverWait = time.Millisecond
 
 // waitForChanges returns how long a read of the source waits for a change, after a
@@ -183,7 +183,7 @@
 func (n *Node) waitForChanges(from string, paused time.Duration) (wait, grace time.Duration) {
 	stale := n.updateLog.Status().Age > maxRelayAge
 	switch {
-	case from != relay.StoreSource && stale:
+	case from != relay.StoreSource && (stale || n.hasFailed(from)):
 		return takeoverWait, staleGrace
 	case from != relay.StoreSource:
 		return maxRelayWait, nodeGrace
@@ -223,11 +223,7 @@
 		defer cancel()
 		u, err = s.Watch(sourceCtx, after, wait)
 	} else {
-		timeout := listTimeout
-		if from != relay.StoreSource {
-			timeout = nodeListTimeout
-		}
-		sourceCtx, cancel := context.WithTimeout(ctx, timeout)
+		sourceCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		u, err = s.List(sourceCtx)
 	}
@@ -252,6 +248,13 @@
 	return n.sourceSelector.Next(time.Now())
 }
 
+// hasFailed reports whether the last read of a source failed.
+func (n *Node) hasFailed(from string) bool {
+	n.selectorMu.Lock()
+	defer n.selectorMu.Unlock()
+	return n.sourceSelector.HasFailed(from)
+}
+
 // recordSourceSuccess records that a source answered.
 func (n *Node) recordSourceSuccess(from string) {
 	n.selectorMu.Lock()
@@ -270,7 +273,11 @@
 		return
 	}
 	n.selectorMu.Lock()
-	n.sourceSelector.RecordFailure(from, time.Now())
+	if from != relay.StoreSource && errorx.IsOfType(err, peer.Timeout) {
+		n.sourceSelector.RecordSilence(from, time.Now())
+	} else {
+		n.sourceSelector.RecordFailure(from, time.Now())
+	}
 	n.selectorMu.Unlock()
 	// Other nodes may have been unable to reach this one as well.
 	n.crashReports.RequestPull()
--- a/pkg/relay/selector.go
+++ b/pkg/relay/selector.go
@@ -21,10 +21,14 @@
 	// that do not rank first or second. In an outage of the store these are hundreds.
 	minStoreRetryDelay = time.Second
 	maxStoreRetryDelay = 8 * time.Second
-	// takeoverStep is the time by which each further node by rank waits longer before
-	// it reads the store in place of the nodes from which it usually reads. By then the
-	// first of them has read it.
-	takeoverStep = 150 * time.Millisecond
+	// minSilentRetryDelay and maxSilentRetryDelay are the limits for a node that did not
+	// answer at all: to ask it again costs the time until it is given up.
+	minSilentRetryDelay = time.Second
+	maxSilentRetryDelay = 4 * time.Second
+	// takeoverStep is the time that a node waits, for each node that ranks before it,
+	// before it reads the store in place of the nodes from which it usually reads. By
+	// then most can read one that has read the store.
+	takeoverStep = 200 * time.Millisecond
 	// maxPredecessors is the number of nodes that a node tries before the store, and
 	// maxFallbacks the number of nodes of each kind that it tries after it.
 	maxPredecessors = 3
@@ -132,7 +136,7 @@
 	if c.failingSince.IsZero() || c.predecessors == 0 {
 		return time.Time{}
 	}
-	return c.failingSince.Add(time.Duration(c.predecessors-1) * takeoverStep)
+	return c.failingSince.Add(time.Duration(c.predecessors) * takeoverStep)
 }
 
 // Nodes returns the other nodes, those that can be a source first.
@@ -148,17 +152,29 @@
 
 // RecordFailure records that a source could not be read.
 func (c *SourceSelector) RecordFailure(source string, now time.Time) {
+	least, most := c.retryDelays(source)
+	c.recordFailure(source, now, least, most)
+}
+
+// RecordSilence records that a node did not answer.
+func (c *SourceSelector) RecordSilence(source string, now time.Time) {
+	c.recordFailure(source, now, minSilentRetryDelay, maxSilentRetryDelay)
+}
+
+func (c *SourceSelector) recordFailure(source string, now time.Time, least, most time.Duration) {
 	if c.failures == nil {
 		c.failures = map[string]failure{}
 	}
 	f := c.failures[source]
-	least, most := c.retryDelays(source)
 	c.failures[source] = failure{f.count + 1, now.Add(min(least<<min(f.count, 8), most))}
 	if c.failingSince.IsZero() {
 		c.failingSince = now
 	}
 }
 
+// HasFailed reports whether the last read of a source failed.
+func (c *SourceSelector) HasFailed(source string) bool { return c.failures[source].count > 0 }
+
 // retryDelays returns the limits of the time for which the source is not read after a
 // failure.
 func (c *SourceSelector) retryDelays(source string) (least, most time.Duration) {
