sidecar: a node that stops is not silent

Cause: the check of a node that owes a response counted a refused connection as silence. A node that stops closes its listeners while its requests finish, so a long request there was given up.

Change: only a peer that does not answer in time is silent; a node that itself stops gives up nothing, since its callers cannot send a request again.

Test: TestRequestAtANodeThatStopsIsNotGivenUp failed before (the request ran twice).

--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 const (
@@ -222,19 +224,21 @@
 }
 
 // Answers opens a connection and reports whether the peer answers "OPTIONS *" on it
-// before ctx ends. The connection is kept for later requests.
+// before ctx ends. The connection is kept for later requests. A peer that refuses or
+// closes the connection answers, too: it does not stand still, and the connections
+// that it has kept may go on.
 func (p *Pool) Answers(ctx context.Context) bool {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return false
+		return errorx.IsOfType(err, NotListening) || errorx.IsOfType(err, DialRefused)
 	}
-	limit := dialTimeout
+	limit := time.Now().Add(dialTimeout)
 	if deadline, ok := ctx.Deadline(); ok {
-		limit = time.Until(deadline)
+		limit = deadline
 	}
-	if !c.probeWithin(limit) {
+	if !c.probeUntil(limit) {
 		p.discard(c)
-		return false
+		return time.Now().Before(limit)
 	}
 	p.putIdle(c)
 	return true
@@ -296,11 +300,11 @@
 // probe sends "OPTIONS *" and reports whether a short response arrives in time,
 // nothing follows it and the connection stays open.
 func (c *conn) probe() bool {
-	return c.probeWithin(probeTimeout)
+	return c.probeUntil(time.Now().Add(probeTimeout))
 }
 
-func (c *conn) probeWithin(limit time.Duration) bool {
-	_ = c.SetDeadline(time.Now().Add(limit))
+func (c *conn) probeUntil(limit time.Time) bool {
+	_ = c.SetDeadline(limit)
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
 	if _, err := c.writer.WriteString("OPTIONS * HTTP/1.1\r\nHost: probe\r\n\r\n"); err != nil {
 		return false
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -256,6 +256,7 @@
 	n.admission = priorityadmission.New()
 	n.admission.SetClosed(priorityadmission.Starting)
 	n.remoteNodes = newRemoteNodes(&n.HeaderNames, &n.calls, time.Now)
+	n.remoteNodes.silence.stopping = n.stopping.Load
 	n.quarantines = quarantine.New()
 	n.crashReports = crash.NewReports(n.quarantines, s.ControlAddress, n.accountLimits.nodes, n.exchangeReports)
 	requestLog := &requestLogger{log: n.Log, now: time.Now}
--- a/internal/sidecar/silence.go
+++ b/internal/sidecar/silence.go
@@ -29,6 +29,9 @@
 type silenceDetector struct {
 	// answers reports whether the node at an address answers before ctx ends.
 	answers func(ctx context.Context, address string) bool
+	// stopping reports whether this node stops. It then gives up no request, since its
+	// callers cannot send one again.
+	stopping func() bool
 
 	mu     sync.Mutex
 	checks map[string]*silenceCheck
@@ -74,7 +77,9 @@
 		select {
 		case <-stopped:
 		default:
-			giveUp(errNodeSilent)
+			if !s.stopping() {
+				giveUp(errNodeSilent)
+			}
 		}
 	})
 	return watched, func() {
--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quetzaldock.example/quetzaldock/pkg/fleet"
 )
 
 // listenSilently accepts connections at an address and answers nothing, as a host that
@@ -65,3 +67,25 @@
 		assert.Equal(t, m.runs()-before, 1)
 	}
 }
+
+// Guards against a running request that is given up because the node beside its instance
+// stops and accepts no connections any more.
+func TestRequestAtANodeThatStopsIsNotGivenUp(t *testing.T) {
+	m := newMeshWith(t, 2, func(n *Node) { n.StopPlan.KillMargin = 10 * time.Millisecond })
+	for _, b := range m.backends {
+		b.handle = func(http.ResponseWriter, *http.Request) { time.Sleep(1200 * time.Millisecond) }
+	}
+	leaving := m.backends[0].instanceChange("surco")
+	leaving.Instance.State = fleet.Draining
+	m.store.publish(nil, leaving)
+	waitFor(t, "one instance", func() bool {
+		_, other := m.nodes[0].chooser.Pick("desk", []string{"i-1"})
+		return !other
+	})
+	status := make(chan int, 1)
+	go func() { status <- m.send(t, 0, http.MethodGet, "/list/a").status }()
+	waitFor(t, "the request", func() bool { return m.backends[1].count() == 1 })
+	m.stops[1]()
+	assert.Equal(t, <-status, http.StatusOK)
+	assert.Equal(t, m.runs(), 1)
+}
