sidecar: a test's node reads the store whatever its port

Since the first nodes of the zones read the first among them, its node read the other node, which is an era ahead, if that ranked first, which depends on the port. The node's address is chosen so that it reads the store; the checks are the same.

--- a/internal/sidecar/otherconfigs_test.go
+++ b/internal/sidecar/otherconfigs_test.go
@@ -52,7 +52,7 @@
 	_, port, _ := net.SplitHostPort(l.Addr().String())
 	go func() { _ = (&peer.Server{Updates: source.serveUpdates, Log: source.Log}).Serve(t.Context(), l) }()
 	source.applyUpdate(&Update{Era: 2, Full: true, Revision: 5, ConfirmedAt: time.Now().Add(time.Hour), Published: routesDocument(7, 2)})
-	n := New(Settings{Host: "b", Service: "desk", Zone: "north", CallAddress: "127.0.0.2:1", ControlAddress: net.JoinHostPort("127.0.0.2", port), BackendAddress: "127.0.0.2:10", MaxConnections: 1})
+	n := New(Settings{Host: "b", Service: "desk", Zone: "north", CallAddress: "127.0.0.2:1", ControlAddress: readerAddress(port, relay.Member{Address: net.JoinHostPort("127.0.0.1", port), Zone: "south"}), BackendAddress: "127.0.0.2:10", MaxConnections: 1})
 	n.HeaderNames = testHeaders
 	n.buildComponents()
 	defer func() { _ = n.metrics.Close() }()
@@ -82,6 +82,18 @@
 	}
 }
 
+// readerAddress returns a control address in zone north of a node that reads the store
+// and not the other one.
+func readerAddress(port string, other relay.Member) string {
+	for i := 2; ; i++ {
+		c := relay.SourceSelector{Self: relay.Member{Address: net.JoinHostPort(fmt.Sprintf("127.0.2.%d", i), port), Zone: "north"}}
+		c.SetMembers([]relay.Member{other})
+		if s, _ := c.Next(time.Now()); s == relay.StoreSource {
+			return c.Self.Address
+		}
+	}
+}
+
 // Guards against a node that keeps the configuration of a copy because the first nodes
 // that it asks for a newer one do not answer.
 func TestConfigurationIsReadFromNodesThatAnswer(t *testing.T) {
