--- a/review/cmd/cases/health.go
+++ b/review/cmd/cases/health.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,7 +45,7 @@
 	zones := []string{"z1", "z2", "z3", "z4"}
 	for n := range healthHosts {
 		i := d.AddHost("desk", zones[n%len(zones)]).Instance
-		i.Work, i.HealthWork = 40*time.Millisecond, healthLag
+		i.Work, i.HealthWork = 40*time.Millisecond, healthLag()
 		if float64(n) < affectedShare*healthHosts {
 			i.Extra = func() bool { return active.Load() && rand.Float64() < extraShare }
 		}
@@ -125,6 +127,11 @@
 	return held, nil
 }
 
-// healthLag is how long an instance takes for the answer to a health check once it has
-// a slot.
-const healthLag = 20 * time.Millisecond
+// healthLag returns how long an instance takes for the answer to a health check once it
+// has a slot: 20 ms, or the number of milliseconds in HEALTH_MS.
+func healthLag() time.Duration {
+	if ms, err := strconv.Atoi(os.Getenv("HEALTH_MS")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return 20 * time.Millisecond
+}
