sidecar: responses are matched to their requests by ID, health checks too

Cause: health checks use the connections that carry requests and took whatever response came first for their own. If it was the late second answer to an earlier request, the connection went back to the pool with the health check unanswered, and the next request got the answer to the health check. That one has no ID, and a response without an ID was accepted for any request.

Change: a health check has an ID; a response that names another request closes its connection, and the check is sent again. A response to a request must name it. Two responses to two requests on one connection then differ, whichever comes first.

--- a/internal/sidecar/config_soak_test.go
+++ b/internal/sidecar/config_soak_test.go
@@ -184,7 +184,7 @@
 
 // serve is the handler of the backend servers.
 func (s *configSoak) serve(w http.ResponseWriter, r *http.Request) {
-	if s.misbehave && misbehave(w, rand.New(rand.NewPCG(s.seed, uint64(crc32.ChecksumIEEE([]byte(r.URL.Path)))))) {
+	if s.misbehave && misbehave(w, r, rand.New(rand.NewPCG(s.seed, uint64(crc32.ChecksumIEEE([]byte(r.URL.Path)))))) {
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -204,9 +204,9 @@
 
 // misbehave answers without reading the body, in one of several ways. It returns false
 // if the backend server is to behave.
-func misbehave(w http.ResponseWriter, r *rand.Rand) bool {
-	content := strings.Repeat("e", r.IntN(20<<10))
-	switch r.IntN(12) {
+func misbehave(w http.ResponseWriter, r *http.Request, random *rand.Rand) bool {
+	content := strings.Repeat("e", random.IntN(20<<10))
+	switch random.IntN(12) {
 	case 0:
 		panic(http.ErrAbortHandler)
 	case 1:
@@ -221,7 +221,7 @@
 		if err != nil {
 			return true
 		}
-		_, _ = fmt.Fprintf(out, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", content)
+		_, _ = fmt.Fprintf(out, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", echoedID(r), content)
 		_ = out.Flush()
 		_ = c.Close()
 	default:
--- a/internal/sidecar/earlyanswer_test.go
+++ b/internal/sidecar/earlyanswer_test.go
@@ -19,10 +19,10 @@
 	// The whole response is on its way before the reset.
 	const size = 20 << 10
 	m := newMeshWithOneInstance(t)
-	m.backends[0].handle = func(w http.ResponseWriter, _ *http.Request) {
+	m.backends[0].handle = func(w http.ResponseWriter, r *http.Request) {
 		c, out, err := http.NewResponseController(w).Hijack()
 		assert.NilError(t, err)
-		_, _ = fmt.Fprintf(out, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+		_, _ = fmt.Fprintf(out, "HTTP/1.1 400 Bad Request\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", echoedID(r), size, strings.Repeat("x", size))
 		_ = out.Flush()
 		// Unread bytes turn the close into a reset.
 		_ = c.Close()
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"runtime"
 	"strconv"
 	"strings"
@@ -39,9 +40,12 @@
 	longLength = "Content-Length: 9000000000000000000\r\n\r\n"
 )
 
-// serve sends the stream on the connection of w. The returned error is that of
-// the write that failed.
-func (s *stream) serve(w http.ResponseWriter) error {
+// finalStatusLine matches the status line of a response that is not an interim one.
+var finalStatusLine = regexp.MustCompile(`HTTP/1\.1 [2-5]\d\d [^\r]*\r\n`)
+
+// serve sends the stream as the response to r on the connection of w. The returned error
+// is that of the write that failed.
+func (s *stream) serve(w http.ResponseWriter, r *http.Request) error {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return err
@@ -53,7 +57,7 @@
 	}
 	pace := time.NewTicker(2 * time.Millisecond)
 	defer pace.Stop()
-	_, err = io.WriteString(c, s.head)
+	_, err = io.WriteString(c, finalStatusLine.ReplaceAllString(s.head, "${0}"+echoedID(r)))
 	for err == nil {
 		if s.slow {
 			<-pace.C
@@ -73,7 +77,7 @@
 		begun.Add(1)
 		i, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/entry/"))
 		if err == nil {
-			err = streams[i].serve(w)
+			err = streams[i].serve(w, r)
 		}
 		ended <- err
 	}
@@ -306,9 +310,9 @@
 		m := newMesh(t, 2)
 		var runs atomic.Int64
 		for _, b := range m.backends {
-			b.handle = func(w http.ResponseWriter, _ *http.Request) {
+			b.handle = func(w http.ResponseWriter, r *http.Request) {
 				if runs.Add(1) == 1 {
-					_ = s.serve(w)
+					_ = s.serve(w, r)
 					return
 				}
 				_, _ = io.WriteString(w, "right")
@@ -359,7 +363,7 @@
 		{stream{"bytes after the response", okLine + "Content-Length: 0\r\n\r\n", okLine + "Content-Length: 0\r\n\r\n", false}, true},
 	} {
 		closed := make(chan error, 64)
-		health := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { closed <- c.serve(w) })
+		health := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { closed <- c.serve(w, r) })
 		m.backends[0].health.Store(&health)
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		assert.Equal(t, n.checkHealth(ctx), c.reachable, c.name)
@@ -417,9 +421,9 @@
 		var runs atomic.Int64
 		closed := make(chan error, 16)
 		for _, b := range m.backends {
-			b.handle = func(w http.ResponseWriter, _ *http.Request) {
+			b.handle = func(w http.ResponseWriter, r *http.Request) {
 				if runs.Add(1) == 1 {
-					closed <- s.serve(w)
+					closed <- s.serve(w, r)
 					return
 				}
 				_, _ = io.WriteString(w, "right")
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -1,11 +1,16 @@
 package sidecar
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // HeaderNames holds the names of the HTTP headers that the callers and backend
 // servers of a deployment use. Each name is in canonical form.
 type HeaderNames struct {
-	// RequestID identifies one attempt of a caller. Backend servers echo it.
+	// RequestID identifies one attempt of a caller or one health check. Backend servers
+	// echo it; some do not in responses to health checks.
 	RequestID string
 	// ParentID returns the ID of the request for which a backend server made the
 	// request with the given ID. It returns the empty string if the ID does not
@@ -43,3 +48,15 @@
 	}
 	return uint32(xxhash.Sum64String(id))
 }
+
+// isAnswerTo reports whether a backend server's response belongs to the request with the
+// given ID. A response without an ID may belong to another one.
+func (h *HeaderNames) isAnswerTo(a *http.Response, id string) bool {
+	return a.Header.Get(h.RequestID) == id
+}
+
+// isHealthAnswerTo reports whether a response may belong to the health check with the
+// given ID. One with another ID belongs to an earlier request.
+func (h *HeaderNames) isHealthAnswerTo(a *http.Response, id string) bool {
+	return a.Header.Get(h.RequestID) == "" || h.isAnswerTo(a, id)
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -26,6 +27,9 @@
 	// healthTimeout limits one health check. Under load the check waits for a
 	// slot of the backend server.
 	healthTimeout = 900 * time.Millisecond
+	// maxHealthTries limits the connections on which one health check is sent, if the
+	// backend server closes them or answers another request on them.
+	maxHealthTries = 3
 	// maxHealthBytes limits how much of the body of a health response is read, so
 	// that its connection can be used again.
 	maxHealthBytes = 1 << 10
@@ -74,11 +78,18 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	a, err := n.askHealth(ctx, s)
-	if errorx.IsOfType(err, http1.ClosedByPeer) {
-		// The backend server may have closed an idle connection at that moment.
-		n.localBackend.pool.Invalidate()
+	for tries := 1; tries < maxHealthTries && (err == errAnswerToOther || errorx.IsOfType(err, http1.ClosedByPeer)); tries++ {
+		if err != errAnswerToOther {
+			// The backend server may have closed an idle connection at that moment.
+			n.localBackend.pool.Invalidate()
+		}
 		a, err = n.askHealth(ctx, s)
 	}
+	if err == errAnswerToOther {
+		// The backend server is reachable, but its state is not known.
+		n.Log.Warn("health check got the answer to another request")
+		return true
+	}
 	if err != nil {
 		if errorx.IsOfType(err, http1.NotListening) {
 			n.crashes.ServerDown()
@@ -95,12 +106,26 @@
 	return true
 }
 
-// askHealth sends one health check.
+// errAnswerToOther is the error of a health check whose response belongs to another
+// request.
+var errAnswerToOther = namespace.NewType("answer_to_other").New("the answer belongs to another request")
+
+// askHealth sends one health check with an ID of its own: a second answer to an earlier
+// request on the connection may come first.
 func (n *Node) askHealth(ctx context.Context, s *config.Service) (*http.Response, error) {
-	return n.localBackend.pool.Do(ctx, &http.Request{
-		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}},
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	a, err := n.localBackend.pool.Do(ctx, &http.Request{
+		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}, n.HeaderNames.RequestID: {id}},
 		URL: &url.URL{Scheme: "http", Host: n.settings().BackendAddress, Path: s.HealthPath},
 	})
+	if err != nil {
+		return nil, err
+	}
+	if !n.HeaderNames.isHealthAnswerTo(a, id) {
+		_ = a.Body.Close()
+		return nil, errAnswerToOther
+	}
+	return a, nil
 }
 
 // applyHealthCold applies the cold time in the response to a health check.
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -133,9 +133,8 @@
 // checkResponse refuses a response to another request, and one with a
 // Content-Encoding, whose bytes are not those of the backend server itself.
 func (l *localBackend) checkResponse(a *http.Response, r *InstanceRequest) error {
-	want := r.Header.Get(l.names.RequestID)
-	if got := a.Header.Get(l.names.RequestID); got != "" && got != want {
-		l.log.Warn("answer to another request", "request", want, "answer", got)
+	if id := r.Header.Get(l.names.RequestID); !l.names.isAnswerTo(a, id) {
+		l.log.Warn("answer to another request", "request", id, "answer", a.Header.Get(l.names.RequestID))
 		return &call.OutcomeUnknown{Reason: "the answer belongs to another request"}
 	}
 	if a.Header.Get("Content-Encoding") != "" {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -216,13 +216,13 @@
 
 // ServeHTTP implements http.Handler.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testHeaders.RequestID, r.Header.Get(testHeaders.RequestID))
 	if r.URL.Path == "/health" {
 		if h := b.health.Load(); h != nil {
 			(*h)(w, r)
 		}
 		return
 	}
-	w.Header().Set(testHeaders.RequestID, r.Header.Get(testHeaders.RequestID))
 	if r.Header.Get(testHeaders.ExpectedInstance) != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -233,6 +233,11 @@
 	b.handle(w, r)
 }
 
+// echoedID returns the header line with which an instance echoes the ID of a request.
+func echoedID(r *http.Request) string {
+	return testHeaders.RequestID + ": " + r.Header.Get(testHeaders.RequestID) + "\r\n"
+}
+
 // firstRun returns the first request that ran.
 func (b *backendServer) firstRun() *http.Request {
 	b.mu.Lock()
--- a/internal/sidecar/midcrash_test.go
+++ b/internal/sidecar/midcrash_test.go
@@ -22,10 +22,10 @@
 		}
 		m.publish(t, 2, d)
 		for i, b := range m.backends {
-			b.handle = func(w http.ResponseWriter, _ *http.Request) {
+			b.handle = func(w http.ResponseWriter, r *http.Request) {
 				c, out, err := http.NewResponseController(w).Hijack()
 				assert.NilError(t, err)
-				_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n%s", strings.Repeat("x", 100))
+				_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\n%sContent-Length: 1000\r\n\r\n%s", echoedID(r), strings.Repeat("x", 100))
 				_ = out.Flush()
 				m.servers[i].crash()
 				_ = c.Close()
--- a/internal/sidecar/untilclose_test.go
+++ b/internal/sidecar/untilclose_test.go
@@ -13,11 +13,11 @@
 
 // breakOff answers with a body that ends with its connection. After the server has sent
 // so many bytes, then is called and the connection closes.
-func breakOff(t *testing.T, w http.ResponseWriter, bytes int, then func()) {
+func breakOff(t *testing.T, w http.ResponseWriter, r *http.Request, bytes int, then func()) {
 	t.Helper()
 	c, out, err := http.NewResponseController(w).Hijack()
 	assert.NilError(t, err)
-	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", strings.Repeat("x", bytes))
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", echoedID(r), strings.Repeat("x", bytes))
 	_ = out.Flush()
 	then()
 	_ = c.Close()
@@ -30,7 +30,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := newCrashMesh(t, 2, time.Second)
 			for i, b := range m.backends {
-				b.handle = func(w http.ResponseWriter, _ *http.Request) { breakOff(t, w, bytes, m.servers[i].crash) }
+				b.handle = func(w http.ResponseWriter, r *http.Request) { breakOff(t, w, r, bytes, m.servers[i].crash) }
 			}
 			for i := range m.nodes {
 				a, err := m.open(t, i, http.MethodPost, "/entry/"+deadlyMark)
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := newMesh(t, 2)
 			for _, b := range m.backends {
-				b.handle = func(w http.ResponseWriter, _ *http.Request) { breakOff(t, w, bytes, func() {}) }
+				b.handle = func(w http.ResponseWriter, r *http.Request) { breakOff(t, w, r, bytes, func() {}) }
 			}
 			for i := range m.nodes {
 				a := m.send(t, i, http.MethodPost, "/entry/1")
