config, platform: versions that the store has accepted are valid

A prefix with '%' is a fault there, and the adapter named the exception that sets an account's quota 'limit-' and the account's name, which can exceed the length of a name.

Change: AcceptDocument takes documents that another system has published and validated. Names may be any text that a header can hold, prefixes any path, exceptions any number; ambiguous exceptions are still found, those of accounts in linear time. Manifests are checked as before, and a check that nodes cannot do without still refuses a version.

--- a/pkg/config/accept.go
+++ b/pkg/config/accept.go
@@ -14,6 +14,10 @@
 	// parts are checked only then, because each reference into a missing part
 	// would be reported as a fault of its own.
 	allDecoded bool
+	// foreign is set for a document that another system has published and
+	// validated. The forms of its names and prefixes, and the number of its
+	// exceptions, are that system's choice.
+	foreign bool
 	// defaultsPart is the name of the part that sets Defaults, empty until one
 	// is found.
 	defaultsPart string
@@ -51,11 +55,14 @@
 const documentPart = "document"
 
 // AcceptDocument validates a version that consists of one document instead of
-// a manifest and parts. The snapshot refers to the document, so the caller must
-// not change it afterwards. The error is a *Faults.
+// a manifest and parts, and that another system has published and validated. Its
+// names may be any text that an HTTP header can hold, the prefix of a route with a
+// VirtualHost any path, and it may have any number of exceptions. The snapshot
+// refers to the document, so the caller must not change it afterwards. The error is
+// a *Faults.
 func AcceptDocument(version uint64, doc Document) (*Snapshot, error) {
 	m := &Manifest{Version: version, Parts: []PartRef{{Name: documentPart}}}
-	c := &candidate{faults: &Faults{Manifest: m}, allDecoded: true, snapshot: &Snapshot{Version: version}}
+	c := &candidate{faults: &Faults{Manifest: m}, allDecoded: true, foreign: true, snapshot: &Snapshot{Version: version}}
 	if version == 0 {
 		c.faults.add(ManifestPart, "Version", "must be at least 1")
 	}
@@ -182,7 +189,7 @@
 	for i := range p.doc.Services {
 		s := &p.doc.Services[i]
 		key := entryKey("Services", s.Name, i)
-		checkIdentifier(c.faults, p.name, key+".Name", s.Name)
+		c.checkName(p.name, key+".Name", s.Name)
 		checkService(c.faults, p.name, key, s)
 		addNamed(c.faults, p.name, key, c.snapshot.Services, s.Name, s)
 	}
@@ -201,7 +208,7 @@
 	for i := range p.doc.Routes {
 		r := &p.doc.Routes[i]
 		key := entryKey("Routes", r.Prefix, i)
-		checkPrefix(c.faults, p.name, key+".Prefix", r)
+		c.checkPrefix(p.name, key+".Prefix", r)
 		checkRoute(c.faults, p.name, key, r)
 		addNamed(c.faults, p.name, key, c.snapshot.routesByKey, r.Key(), r)
 	}
@@ -211,7 +218,7 @@
 	for i := range p.doc.Accounts {
 		a := &p.doc.Accounts[i]
 		key := entryKey("Accounts", a.Name, i)
-		checkIdentifier(c.faults, p.name, key+".Name", a.Name)
+		c.checkName(p.name, key+".Name", a.Name)
 		for _, k := range a.Keys {
 			if !isDigest(k) {
 				c.faults.add(p.name, key+".Keys", "%q is not a digest of 64 lower-case hexadecimal digits", k)
--- a/pkg/config/faults_test.go
+++ b/pkg/config/faults_test.go
@@ -92,6 +92,15 @@
 		{`exceptions: Exceptions["old"].Values.Slots: ambiguous: exception "small-desk" has as many selectors`, func(_, _, e *doc) {
 			e.Exceptions[3].Retired, e.Exceptions[3].Service, e.Exceptions[3].Zone = false, "", "Surco"
 		}},
+		{`exceptions: Exceptions["twice"].Values.Rate: ambiguous: exception "club-b-rate" has as many selectors`, func(_, _, e *doc) {
+			e.Exceptions = append(e.Exceptions, config.Exception{Name: "twice", Reason: "r", Account: "club-b", Values: config.Values{Rate: ptr(1.0)}})
+		}},
+		{`exceptions: Exceptions["queue-b"].Values.QueuePerAccount: ambiguous: exception "queue" has as many selectors`, func(_, _, e *doc) {
+			e.Exceptions = append(
+				e.Exceptions, config.Exception{Name: "queue", Reason: "r", Service: "desk", Values: config.Values{QueuePerAccount: ptr(1)}},
+				config.Exception{Name: "queue-b", Reason: "r", Account: "club-b", Values: config.Values{QueuePerAccount: ptr(2)}},
+			)
+		}},
 		{`exceptions: Exceptions["small-desk"].Values.Slots: service "desk" in zone "" gets ColdSlots 3, more than Slots 2`, func(_, _, e *doc) { e.Exceptions[0].Values.Slots = ptr(2) }},
 	} {
 		got := faultsOf(t, c.edit)
--- a/pkg/config/keys.go
+++ b/pkg/config/keys.go
@@ -16,8 +16,9 @@
 	// randomKeyBytes is the number of random bytes in a generated key. With it a
 	// key is infeasible to guess.
 	randomKeyBytes = 32
-	// maxKeyBytes is the largest length of a key that is looked up.
-	maxKeyBytes = 256
+	// bufferedKeyBytes is the largest length of a key that is looked up without an
+	// allocation.
+	bufferedKeyBytes = 256
 )
 
 // A keyOwner is the digest of a key and the account that owns the key.
@@ -30,11 +31,11 @@
 // compared in constant time; the map lookup before it depends only on the first
 // eight bytes of the digest of the key that the caller sent.
 func (s *Snapshot) AccountOfKey(key string) (*ClientAccount, bool) {
-	if key == "" || len(key) > maxKeyBytes {
+	if key == "" {
 		return nil, false
 	}
-	var buffer [maxKeyBytes]byte
-	sum := sha256.Sum256(buffer[:copy(buffer[:], key)])
+	var buffer [bufferedKeyBytes]byte
+	sum := sha256.Sum256(append(buffer[:0], key...))
 	var found *ClientAccount
 	owners := s.keyOwners[binary.BigEndian.Uint64(sum[:8])]
 	for i := range owners {
--- a/pkg/config/names.go
+++ b/pkg/config/names.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// checkName adds a fault unless the name of a service, account or exception can be
+// used. Names of a foreign document need only fit into a header.
+func (c *candidate) checkName(part, key, name string) {
+	if !c.foreign {
+		checkIdentifier(c.faults, part, key, name)
+		return
+	}
+	if name == "" || strings.ContainsFunc(name, unicode.IsControl) {
+		c.faults.add(part, key, "must not be empty or have control characters")
+	}
+}
+
 // checkHostID adds a fault unless the ID is a lower-case DNS label. Certificates
 // carry the ID as a DNS name, which is compared without regard to case.
 func checkHostID(f *Faults, part, key, id string) {
@@ -51,17 +63,24 @@
 }
 
 // checkPrefix adds a fault unless the prefix can be compared with the paths of
-// requests. Only the prefix of a route with a VirtualHost may end with a slash.
-func checkPrefix(f *Faults, part, key string, r *Route) {
+// requests. Only the prefix of a route with a VirtualHost may end with a slash. In a
+// foreign document such a prefix may be any path, since it is compared byte by byte.
+func (c *candidate) checkPrefix(part, key string, r *Route) {
 	prefix := r.Prefix
+	if c.foreign && r.VirtualHost != "" {
+		if !strings.HasPrefix(prefix, "/") {
+			c.faults.add(part, key, "must start with '/'")
+		}
+		return
+	}
 	ok := strings.HasPrefix(prefix, "/") && len(prefix) <= maxPrefixBytes && isPlainPath(prefix) &&
 		(prefix == "/" || r.VirtualHost != "" || !strings.HasSuffix(prefix, "/"))
 	for i := 0; ok && i < len(prefix); i++ {
-		c := prefix[i]
-		ok = c > ' ' && c < 0x7f && strings.IndexByte("%?#;\\", c) < 0
+		b := prefix[i]
+		ok = b > ' ' && b < 0x7f && strings.IndexByte("%?#;\\", b) < 0
 	}
 	if !ok {
-		f.add(part, key, "must be a path of at most %d ASCII characters that starts with '/', without dot or empty segments, trailing '/' unless with a VirtualHost, and any of %% ? # ; \\", maxPrefixBytes)
+		c.faults.add(part, key, "must be a path of at most %d ASCII characters that starts with '/', without dot or empty segments, trailing '/' unless with a VirtualHost, and any of %% ? # ; \\", maxPrefixBytes)
 	}
 }
 
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// maxExceptions bounds the pairwise check of exceptions, whose cost grows with
-// the square of their number. Operators are expected to keep a short list.
+// maxExceptions is the largest number of exceptions in a manifest. Operators are
+// expected to keep a short list.
 const maxExceptions = 1000
 
 // A liveException is an exception that is not retired, with the part and the
@@ -82,19 +82,36 @@
 			}
 		}
 	}
-	if count > maxExceptions {
+	if count > maxExceptions && !c.foreign {
 		c.faults.add(ManifestPart, "Exceptions", "%d exceptions exceed the limit of %d", count, maxExceptions)
 		return
 	}
-	for j := range c.liveExceptions {
-		for i := range j {
-			c.checkAmbiguity(c.liveExceptions[i], c.liveExceptions[j])
+	c.checkAmbiguities()
+}
+
+// checkAmbiguities checks the live exceptions in pairs. Of two that select only an
+// account, a pair is checked only if it is the same account: there may be one for each
+// account of the fleet.
+func (c *candidate) checkAmbiguities() {
+	byAccount := map[string][]liveException{}
+	var others []liveException
+	for j, e := range c.liveExceptions {
+		earlier := c.liveExceptions[:j]
+		accountOnly := e.selector() == selector{account: e.Account}
+		if accountOnly {
+			earlier = slices.Concat(byAccount[e.Account], others)
+			byAccount[e.Account] = append(byAccount[e.Account], e)
+		} else {
+			others = append(others, e)
+		}
+		for _, o := range earlier {
+			c.checkAmbiguity(o, e)
 		}
 	}
 }
 
 func (c *candidate) checkException(part, key string, e *Exception) {
-	checkIdentifier(c.faults, part, key+".Name", e.Name)
+	c.checkName(part, key+".Name", e.Name)
 	if strings.TrimSpace(e.Reason) == "" {
 		c.faults.add(part, key+".Reason", "every exception needs a reason")
 	}
--- a/pkg/config/route.go
+++ b/pkg/config/route.go
@@ -6,9 +6,9 @@
 	"strings"
 )
 
-// maxRouteNumber bounds the numeric fields of a route. For times it is one hour
+// MaxRouteNumber bounds the numeric fields of a route. For times it is one hour
 // in milliseconds.
-const maxRouteNumber = 3_600_000
+const MaxRouteNumber = 3_600_000
 
 // Key identifies the route within a configuration.
 func (r *Route) Key() string { return r.VirtualHost + r.Prefix }
@@ -68,8 +68,8 @@
 		name  string
 		value int
 	}{{"TimeoutMs", r.TimeoutMs}, {"ObjectiveMs", r.ObjectiveMs}, {"Priority", r.Priority}, {"Attempts", r.Attempts}} {
-		if n.value < 0 || n.value > maxRouteNumber {
-			f.add(part, key+"."+n.name, "must be from 0 to %d", maxRouteNumber)
+		if n.value < 0 || n.value > MaxRouteNumber {
+			f.add(part, key+"."+n.name, "must be from 0 to %d", MaxRouteNumber)
 		}
 	}
 }
--- a/pkg/config/values.go
+++ b/pkg/config/values.go
@@ -28,6 +28,13 @@
 // limit. It is the largest Rate that is accepted.
 const UnlimitedRate = 1e7
 
+// The smallest Rate and the bounds of Burst that are accepted.
+const (
+	MinRate  = 0.001
+	MinBurst = 1
+	MaxBurst = 1e7
+)
+
 // valueFields lists the fields of Values in the order of their declaration. The
 // bounds exclude values that no deployment needs and with which computations
 // elsewhere would overflow or not end.
@@ -39,8 +46,8 @@
 	{"CallTimeoutMs", callScope, 1, 300_000, func(v *Values) (float64, bool) { return intValue(v.CallTimeoutMs) }},
 	{"RetryPercent", callScope, 0, 100, func(v *Values) (float64, bool) { return intValue(v.RetryPercent) }},
 	{"MaxHeaderBytes", hostScope, 1024, 64 << 10, func(v *Values) (float64, bool) { return intValue(v.MaxHeaderBytes) }},
-	{"Rate", accountScope, 0.001, UnlimitedRate, func(v *Values) (float64, bool) { return floatValue(v.Rate) }},
-	{"Burst", accountScope, 1, 1e7, func(v *Values) (float64, bool) { return floatValue(v.Burst) }},
+	{"Rate", accountScope, MinRate, UnlimitedRate, func(v *Values) (float64, bool) { return floatValue(v.Rate) }},
+	{"Burst", accountScope, MinBurst, MaxBurst, func(v *Values) (float64, bool) { return floatValue(v.Burst) }},
 }
 
 func intValue(p *int) (float64, bool) {
