priorityadmission, sidecar: a warm server is confirmed before it gets more than a cold one

Cause: only health checks show at once that a server is cold. They came once a second, and until the next one admission allowed all slots. At 100 requests a second the bound is reached after 0.4 s.

Change: a server counts as warm as of the time at which a health check asked it. The starts after that time are limited as those of a cold server, and the next check is sent after two thirds of them. So in no second more requests start than the cold rate allows after the server has become cold, whenever that is; a warm server that answers its checks is not held up. A check that the server refuses for lack of room no longer counts as a statement that it is warm. The functions of the cold limit move to cold.go.

--- a/internal/sidecar/cold_test.go
+++ b/internal/sidecar/cold_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,7 +76,7 @@
 	n.applyUpdate(&Update{Full: true, Published: coldDocument(), Changes: []fleet.Change{instanceStarted("i-1", address, 1000, 0)}})
 	n.setCold(0, n.localService())
 	state := func(left string) {
-		n.applyHealthCold(http.Header{testHeaders.ColdTimeLeft: {left}}, n.localService())
+		n.applyHealthCold(http.Header{testHeaders.ColdTimeLeft: {left}}, n.localService(), time.Now())
 	}
 	state("0")
 	assert.Assert(t, !n.admission.Cold(), "a warm server")
@@ -110,3 +112,66 @@
 	maxAdmitted := int(coldStartsPerSec * (1 + n.Bounds.ColdOverage))
 	assert.Assert(t, admitted <= maxAdmitted, "%d of at most %d", admitted, maxAdmitted)
 }
+
+// Guards against a backend server that becomes cold without a restart, which only its
+// health checks show, and gets the load of a warm one until the next of them.
+func TestServerThatBecomesColdUnannouncedGetsNoFullLoad(t *testing.T) {
+	const coldTime = 2 * time.Second
+	m := newMesh(t, 1)
+	n, b := m.nodes[0], m.backends[0]
+	m.store.publish(&PublishedConfig{Version: 2, Document: coldDocument().Document})
+	var coldUntil atomic.Int64
+	health := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if left := time.Until(time.Unix(0, coldUntil.Load())); left > 0 {
+			w.Header().Set(testHeaders.ColdTimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+		}
+	})
+	b.health.Store(&health)
+	var mu sync.Mutex
+	var arrivals []time.Time
+	b.handle = func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		arrivals = append(arrivals, time.Now())
+	}
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				m.send(t, 0, http.MethodGet, "/list/1")
+			}
+		})
+	}
+	waitFor(t, "warm server", func() bool { return n.snapshot.Load().Version == 2 && !n.admission.Cold() })
+	// The node has just checked the server.
+	assert.Assert(t, n.checkHealth(t.Context()))
+	maxArrivals := int(coldStartsPerSec * (1 + n.Bounds.ColdOverage))
+	for range 3 {
+		mu.Lock()
+		arrivals = nil
+		mu.Unlock()
+		waitFor(t, "full load", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(arrivals) > 2*maxArrivals
+		})
+		mu.Lock()
+		arrivals = nil
+		coldUntil.Store(time.Now().Add(coldTime).UnixNano())
+		mu.Unlock()
+		sleep(t.Context(), coldTime-50*time.Millisecond)
+		mu.Lock()
+		for i := maxArrivals; i < len(arrivals); i++ {
+			assert.Check(t, arrivals[i].Sub(arrivals[i-maxArrivals]) >= time.Second, "more than %d requests in a second", maxArrivals)
+		}
+		mu.Unlock()
+	}
+	close(stop)
+	clients.Wait()
+}
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	// healthInterval is the time between health checks of the backend server. It
-	// may become cold at any moment without any other sign.
+	// healthInterval is the longest time between health checks of the backend server.
+	// Admission wants more of them under load, since the backend server may become cold
+	// at any moment without any other sign.
 	healthInterval = time.Second
 	// healthRetryInterval is the time between health checks while the backend
-	// server is unreachable.
+	// server is unreachable or admission waits for its state.
 	healthRetryInterval = 200 * time.Millisecond
 	// healthTimeout limits one health check. Under load the check waits for a
 	// slot of the backend server.
@@ -49,11 +50,8 @@
 // watchHealth checks the health of the backend server until ctx ends.
 func (n *Node) watchHealth(ctx context.Context) {
 	for {
-		pause := healthInterval
-		if !n.checkHealth(ctx) {
-			pause = healthRetryInterval
-		}
-		t := time.NewTimer(pause)
+		ok := n.checkHealth(ctx)
+		t := time.NewTimer(n.healthPause(ok))
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -68,21 +66,39 @@
 	}
 }
 
+// healthPause returns the time until the next health check, given whether the last one
+// reached the backend server. The one at the end of a cold time confirms it.
+func (n *Node) healthPause(reached bool) time.Duration {
+	if !reached || n.admission.WantsConfirmation() {
+		return healthRetryInterval
+	}
+	if left := time.Until(n.admission.ColdUntil()); left > 0 {
+		return min(left, healthInterval)
+	}
+	return healthInterval
+}
+
 // checkHealth runs one health check. It reports false if the backend server could
 // not be reached.
 func (n *Node) checkHealth(ctx context.Context) bool {
 	s := n.localService()
-	if s == nil || s.HealthPath == "" {
+	if s == nil {
+		return true
+	}
+	if s.HealthPath == "" {
+		n.admission.ConfirmWarm(time.Now())
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	began := time.Now()
 	a, err := n.askHealth(ctx, s)
 	for tries := 1; tries < maxHealthTries && (err == errAnswerToOther || errorx.IsOfType(err, http1.ClosedByPeer)); tries++ {
 		if err != errAnswerToOther {
 			// The backend server may have closed an idle connection at that moment.
 			n.localBackend.pool.Invalidate()
 		}
+		began = time.Now()
 		a, err = n.askHealth(ctx, s)
 	}
 	if err == errAnswerToOther {
@@ -102,7 +118,9 @@
 	}
 	peercall.DrainBody(a, maxHealthBytes)
 	n.setReachable(true)
-	n.applyHealthCold(a.Header, s)
+	if a.Header.Get(n.HeaderNames.NotExecuted) == "" {
+		n.applyHealthCold(a.Header, s, began)
+	}
 	return true
 }
 
@@ -128,8 +146,9 @@
 	return a, nil
 }
 
-// applyHealthCold applies the cold time in the response to a health check.
-func (n *Node) applyHealthCold(h http.Header, s *config.Service) {
+// applyHealthCold applies the cold time in the response to a health check that began at
+// the given time.
+func (n *Node) applyHealthCold(h http.Header, s *config.Service, began time.Time) {
 	if s.ColdPerSecond <= 0 {
 		n.admission.SetColdLimit(time.Time{}, 0)
 		return
@@ -145,6 +164,9 @@
 		stated += coldTimeUnit
 	}
 	n.setCold(stated, s)
+	if ms <= 0 {
+		n.admission.ConfirmWarm(began)
+	}
 }
 
 // setCold limits the requests to the backend server for a time. The deployment
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -254,6 +254,7 @@
 	n.rateLimiter = ratelimit.New(ratelimit.Tolerance{OverageRatio: n.Bounds.QuotaOverage, SlackRequests: n.Bounds.QuotaSlack})
 	n.accountLimits = &accountLimiter{rateLimiter: n.rateLimiter, controlClient: n.controlClient, selfAddress: s.ControlAddress}
 	n.admission = priorityadmission.New()
+	n.admission.WantConfirmation = n.checkHealthSoon
 	n.admission.SetClosed(priorityadmission.Starting)
 	n.remoteNodes = newRemoteNodes(&n.HeaderNames, &n.calls, time.Now)
 	n.remoteNodes.silence.stopping = n.stopping.Load
--- a/pkg/priorityadmission/controller.go
+++ b/pkg/priorityadmission/controller.go
@@ -17,19 +17,11 @@
 import (
 	"container/heap"
 	"context"
-	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// coldWindow is the window in which the starts on a cold server are limited.
-	coldWindow = time.Second
-	// coldWindowParts is the number of parts of coldWindow. The starts of a
-	// window are spread evenly over its parts; if all were allowed at its
-	// beginning, urgent requests that arrive later would wait for the next
-	// window.
-	coldWindowParts = 4
 	// A request is refused as late if, when it would start, less than the mean
 	// duration divided by minRunTimeDivisor is left until its deadline.
 	minRunTimeDivisor = 4
@@ -94,6 +86,10 @@
 	Now func() time.Time
 	// AfterFunc calls f once after d; the returned function cancels the call.
 	AfterFunc func(d time.Duration, f func()) (stopTimer func() bool)
+	// WantConfirmation, if set, limits the starts since the server was last confirmed
+	// as warm to those of a cold one, see ConfirmWarm. It is called when many of them
+	// are used up. It must not block or call the Controller.
+	WantConfirmation func()
 
 	mu      sync.Mutex
 	slots   int
@@ -108,7 +104,12 @@
 	coldRate  float64
 	// recentStarts holds the times of the starts within the last coldWindow.
 	recentStarts []time.Time
-	durations    durations
+	// confirmedWarm is the latest time at which the server was warm by its own word.
+	confirmedWarm time.Time
+	// confirmationRequested is set from a call of WantConfirmation to the next
+	// ConfirmWarm.
+	confirmationRequested bool
+	durations             durations
 	// runningWork is the sum of the mean durations of the running requests, as
 	// estimated when they started.
 	runningWork time.Duration
@@ -138,30 +139,6 @@
 	c.dispatch(c.Now())
 }
 
-// SetColdLimit limits the starts per second until the given time, while the
-// server is cold. A limit of zero or a time in the past means that the server
-// is warm.
-func (c *Controller) SetColdLimit(until time.Time, perSecond float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.coldUntil, c.coldRate = until, perSecond
-	c.dispatch(c.Now())
-}
-
-// Cold reports whether the server counts as cold.
-func (c *Controller) Cold() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isCold(c.Now())
-}
-
-// ColdUntil returns the time until which the server counts as cold.
-func (c *Controller) ColdUntil() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.coldUntil
-}
-
 // SetClosed refuses new and waiting requests with the reason from now on; the
 // empty reason accepts them again. Running requests are not affected.
 func (c *Controller) SetClosed(r Reason) {
@@ -294,55 +271,6 @@
 	c.scheduleDispatch(now)
 }
 
-// scheduleDispatch sets the timer that dispatches when a cold server may start
-// the next request, or when it becomes warm.
-func (c *Controller) scheduleDispatch(now time.Time) {
-	if c.stopTimer != nil {
-		c.stopTimer()
-		c.stopTimer = nil
-	}
-	if len(c.waiting) == 0 || !c.isCold(now) || c.running >= c.slots {
-		return
-	}
-	at := c.coldUntil
-	if t := c.nextColdStart(); t.Before(at) {
-		at = t
-	}
-	c.stopTimer = c.AfterFunc(max(time.Millisecond, at.Sub(now)), func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.stopTimer = nil
-		c.dispatch(c.Now())
-	})
-}
-
-func (c *Controller) isCold(now time.Time) bool {
-	return c.coldRate > 0 && now.Before(c.coldUntil)
-}
-
-func (c *Controller) coldStartsPerWindow() int { return max(1, int(math.Floor(c.coldRate))) }
-
-// nextColdStart returns the earliest time at which a cold server may start one
-// more request.
-func (c *Controller) nextColdStart() time.Time {
-	windowLimit := c.coldStartsPerWindow()
-	next := c.nthLastStart(windowLimit).Add(coldWindow)
-	partLimit := (windowLimit + coldWindowParts - 1) / coldWindowParts
-	if t := c.nthLastStart(partLimit).Add(coldWindow / coldWindowParts); t.After(next) {
-		next = t
-	}
-	return next
-}
-
-// nthLastStart returns the time of the n-th last start; zero if there were
-// fewer within the last coldWindow.
-func (c *Controller) nthLastStart(n int) time.Time {
-	if len(c.recentStarts) < n {
-		return time.Time{}
-	}
-	return c.recentStarts[len(c.recentStarts)-n]
-}
-
 // permits returns the number of requests that may run at once. For a cold
 // server it is the number that its start rate sustains.
 func (c *Controller) permits(now time.Time) int {
@@ -354,34 +282,15 @@
 
 // canStart reports whether a request may start now.
 func (c *Controller) canStart(now time.Time) bool {
-	if c.running >= c.slots {
-		return false
-	}
-	if c.coldRate <= 0 {
-		return true
-	}
-	c.dropOldStarts(now)
-	return !c.isCold(now) || !now.Before(c.nextColdStart())
+	return c.running < c.slots && !now.Before(c.nextStart(now))
 }
 
-// dropOldStarts drops the starts that are older than coldWindow.
-func (c *Controller) dropOldStarts(now time.Time) {
-	i := 0
-	for i < len(c.recentStarts) && now.Sub(c.recentStarts[i]) >= coldWindow {
-		i++
-	}
-	c.recentStarts = c.recentStarts[i:]
-}
-
-// start takes a slot. Starts are recorded while the server is warm as well,
-// since it may be found to be cold later.
+// start takes a slot.
 func (c *Controller) start(class string, now time.Time) *Slot {
 	expected := c.durations.of(class).mean
 	c.running++
 	c.runningWork += expected
-	if c.coldRate > 0 {
-		c.recentStarts = append(c.recentStarts, now)
-	}
+	c.recordStart(now)
 	return &Slot{controller: c, class: class, expected: expected, startedAt: now}
 }
 
