sidecar: health checks have a connection of their own, those of suspected restarts an interval

Health checks now use a pool of one connection.

A further check for a suspected restart now follows 200 ms after the last one; until then the server counts as cold. TestRepeatedSuspicionsOfARestartShareAHealthCheck fails without it.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -100,7 +100,7 @@
 	t.Helper()
 	for _, n := range m.nodes {
 		waitFor(t, "free slot, "+name, func() bool { return n.admission.Load().Running == 0 })
-		waitFor(t, "closed connection, "+name, func() bool { return n.localBackend.pool.OpenConnections() == 0 })
+		waitFor(t, "closed connection, "+name, func() bool { return n.localBackend.pool.OpenConnections()+n.healthPool.OpenConnections() == 0 })
 	}
 }
 
@@ -137,6 +137,7 @@
 			return !second && n.snapshot.Load().Version == 2
 		})
 		n.localBackend.pool.Invalidate()
+		n.healthPool.Invalidate()
 	}
 	waitFor(t, "slots", func() bool { return m.nodes[0].admission.Load().Permits == 2*maxStreams })
 	return m
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -28,9 +28,6 @@
 	// healthTimeout limits one health check. Under load the check waits for a
 	// slot of the backend server.
 	healthTimeout = 900 * time.Millisecond
-	// maxHealthTries limits the connections on which one health check is sent, if the
-	// backend server closes them or answers another request on them.
-	maxHealthTries = 3
 	// maxHealthBytes limits how much of the body of a health response is read, so
 	// that its connection can be used again.
 	maxHealthBytes = 1 << 10
@@ -93,11 +90,9 @@
 	defer cancel()
 	began := time.Now()
 	a, err := n.askHealth(ctx, s)
-	for tries := 1; tries < maxHealthTries && (err == errAnswerToOther || errorx.IsOfType(err, http1.ClosedByPeer)); tries++ {
-		if err != errAnswerToOther {
-			// The backend server may have closed an idle connection at that moment.
-			n.localBackend.pool.Invalidate()
-		}
+	if err == errAnswerToOther || errorx.IsOfType(err, http1.ClosedByPeer) {
+		// The backend server may have closed an idle connection at that moment.
+		n.healthPool.Invalidate()
 		began = time.Now()
 		a, err = n.askHealth(ctx, s)
 	}
@@ -129,10 +124,10 @@
 var errAnswerToOther = namespace.NewType("answer_to_other").New("the answer belongs to another request")
 
 // askHealth sends one health check with an ID of its own: a second answer to an earlier
-// request on the connection may come first.
+// one on the connection may come first.
 func (n *Node) askHealth(ctx context.Context, s *config.Service) (*http.Response, error) {
 	id := strconv.FormatUint(rand.Uint64(), 16)
-	a, err := n.localBackend.pool.Do(ctx, &http.Request{
+	a, err := n.healthPool.Do(ctx, &http.Request{
 		Method: http.MethodGet, Host: n.settings().BackendAddress, Header: http.Header{"User-Agent": {""}, n.HeaderNames.RequestID: {id}},
 		URL: &url.URL{Scheme: "http", Host: n.settings().BackendAddress, Path: s.HealthPath},
 	})
@@ -181,7 +176,7 @@
 // backend server.
 func (n *Node) onConnectionsClosed(count int) {
 	n.restartMu.Lock()
-	restarted := n.restartDetector.ConnectionsClosed(count, int(n.localBackend.pool.OpenConnections()), time.Now())
+	restarted := n.restartDetector.ConnectionsClosed(count, int(n.localBackend.pool.OpenConnections()+n.healthPool.OpenConnections()), time.Now())
 	n.restartMu.Unlock()
 	if restarted {
 		n.suspectRestart("connections closed")
@@ -195,7 +190,30 @@
 		n.Log.Info("backend server may have been started anew", "reason", reason)
 		n.setCold(assumedColdTime, s)
 	}
-	n.checkHealthSoon()
+	n.checkRestart()
+}
+
+// checkRestart requests a health check for a suspected restart, at once if the last one
+// is healthRetryInterval ago. A backend server that resets its connections while its
+// health checks succeed is suspected again after each of them, and would get requests at
+// the pace of the checks.
+func (n *Node) checkRestart() {
+	n.restartMu.Lock()
+	defer n.restartMu.Unlock()
+	wait := time.Until(n.nextRestartCheck)
+	switch {
+	case wait <= 0:
+		n.nextRestartCheck = time.Now().Add(healthRetryInterval)
+		n.checkHealthSoon()
+	case !n.restartCheckScheduled:
+		n.restartCheckScheduled = true
+		time.AfterFunc(wait, func() {
+			n.restartMu.Lock()
+			n.restartCheckScheduled = false
+			n.restartMu.Unlock()
+			n.checkRestart()
+		})
+	}
 }
 
 // checkHealthSoon requests a health check at once.
--- a/internal/sidecar/health_test.go
+++ b/internal/sidecar/health_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -16,12 +17,12 @@
 	m.backends[0].health.Store(&answer)
 	n := m.nodes[0]
 	assert.Assert(t, n.checkHealth(t.Context()))
-	before := n.localBackend.pool.DialCount()
+	before := n.healthPool.DialCount()
 	for range 20 {
 		assert.Assert(t, n.checkHealth(t.Context()))
 	}
 	// The node's own checks run beside these.
-	assert.Assert(t, n.localBackend.pool.DialCount()-before <= 2, "%d connections for 20 checks", n.localBackend.pool.DialCount()-before)
+	assert.Assert(t, n.healthPool.DialCount()-before <= 2, "%d connections for 20 checks", n.healthPool.DialCount()-before)
 }
 
 // Guards against a backend server that counts as unreachable because it closed an idle
@@ -45,3 +46,18 @@
 		assert.Equal(t, string(n.admission.ClosedReason()), "")
 	}
 }
+
+// Guards against a backend server that resets its connections and gets a health check, and
+// with it more requests, after each of them.
+func TestRepeatedSuspicionsOfARestartShareAHealthCheck(t *testing.T) {
+	n := testNode(t, "127.0.0.1:9")
+	n.suspectRestart("test")
+	<-n.healthWanted
+	began := time.Now()
+	for range 100 {
+		n.suspectRestart("test")
+	}
+	assert.Equal(t, len(n.healthWanted), 0)
+	<-n.healthWanted
+	assert.Assert(t, time.Since(began) > healthRetryInterval/2, "%s", time.Since(began))
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,11 +94,14 @@
 	accountLimits   *accountLimiter
 	admission       *priorityadmission.Controller
 	localBackend    *localBackend
-	quarantines     *quarantine.Table
-	crashReports    *crash.Reports
-	crashes         *crash.Detector
-	remoteNodes     *remoteNodes
-	callerHandler   *callerHandler
+	// healthPool holds the connection for health checks. On one that also carries
+	// requests, a second answer without an ID could be taken for that to a request.
+	healthPool    *http1.Pool
+	quarantines   *quarantine.Table
+	crashReports  *crash.Reports
+	crashes       *crash.Detector
+	remoteNodes   *remoteNodes
+	callerHandler *callerHandler
 	// callers serves the requests of callers. It is set before requests are served.
 	callers  *http1.Server
 	splitter routeSplitter
@@ -159,6 +162,10 @@
 
 	restartMu       sync.Mutex
 	restartDetector priorityadmission.RestartDetector
+	// nextRestartCheck is the earliest time of the next health check for a suspected
+	// restart.
+	nextRestartCheck      time.Time
+	restartCheckScheduled bool
 }
 
 // New returns a node with these settings and default bounds.
@@ -228,6 +235,7 @@
 	n.controlClient.Close()
 	n.remoteNodes.pools.Close()
 	n.localBackend.pool.Close()
+	n.healthPool.Close()
 	n.Log.Info("node stopped")
 	return nil
 }
@@ -263,14 +271,11 @@
 	requestLog := &requestLogger{log: n.Log, now: time.Now}
 	n.localBackend = &localBackend{
 		names: &n.HeaderNames, admission: n.admission, log: n.Log, now: time.Now,
-		pool: &http1.Pool{
-			MaxIdle:      maxIdleToBackend,
-			Dial:         func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
-			OnIdleClosed: n.onConnectionsClosed,
-		},
+		pool:   n.newBackendPool(maxIdleToBackend),
 		onSent: n.calls.recordRun, onFailure: requestLog.logFailure, instanceID: n.localInstanceID, successor: n.successorID, class: n.classOf, onClosed: n.onConnectionsClosed,
 		onUnreachable: func() { n.setReachable(false) },
 	}
+	n.healthPool = n.newBackendPool(1)
 	n.crashes = n.newCrashDetector()
 	n.localBackend.crashes = n.crashes
 	d := &dispatcher{
@@ -294,6 +299,15 @@
 	}
 }
 
+// newBackendPool returns a pool of connections to the backend server.
+func (n *Node) newBackendPool(maxIdle int) *http1.Pool {
+	return &http1.Pool{
+		MaxIdle:      maxIdle,
+		Dial:         func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, n.settings().BackendAddress) },
+		OnIdleClosed: n.onConnectionsClosed,
+	}
+}
+
 // localInstanceID returns the ID of the instance at the backend server's address,
 // or the empty string if none is published.
 func (n *Node) localInstanceID() string {
--- a/internal/sidecar/secondanswer_test.go
+++ b/internal/sidecar/secondanswer_test.go
@@ -16,10 +16,15 @@
 // healthLag is how long a stuttering server works on a health check.
 const healthLag = 5 * time.Millisecond
 
-// serveTwice answers the requests on a connection as an instance does that answers each
-// request twice: the second answer comes when the next one is expected. It answers health
-// checks once, with their ID if echoHealth is set.
-func serveTwice(c net.Conn, echoHealth bool) {
+// A stutteringServer answers each request twice: the second answer comes when the next one
+// is expected.
+type stutteringServer struct {
+	// echoHealth makes it echo the ID of health checks, healthTwice answer these twice, too.
+	echoHealth, healthTwice bool
+}
+
+// serve answers the requests on a connection.
+func (s *stutteringServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	second := ""
@@ -38,14 +43,14 @@
 			time.Sleep(healthLag)
 		}
 		echo := ""
-		if r.URL.Path != "/health" || echoHealth {
+		if r.URL.Path != "/health" || s.echoHealth {
 			echo = fmt.Sprintf("%s: %s\r\n", testHeaders.RequestID, id)
 		}
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(body), body)
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
-		if r.URL.Path != "/health" {
+		if r.URL.Path != "/health" || s.healthTwice {
 			second = answer
 		}
 	}
@@ -56,12 +61,18 @@
 func TestLateSecondAnswerIsNotTakenForAHealthCheck(t *testing.T) {
 	for _, echoHealth := range []bool{true, false} {
 		t.Run(fmt.Sprintf("health checks echo their ID %t", echoHealth), func(t *testing.T) {
-			testHealthChecksBesideSecondAnswers(t, echoHealth)
+			testSecondAnswers(t, stutteringServer{echoHealth: echoHealth})
 		})
 	}
 }
 
-func testHealthChecksBesideSecondAnswers(t *testing.T, echoHealth bool) {
+// Guards against the late second answer to a health check, without an ID, that reaches the
+// caller of the next request on the connection.
+func TestLateSecondAnswerToAHealthCheckReachesNobody(t *testing.T) {
+	testSecondAnswers(t, stutteringServer{healthTwice: true})
+}
+
+func testSecondAnswers(t *testing.T, server stutteringServer) {
 	t.Helper()
 	host := nextLoopbackHost()
 	l, err := net.Listen("tcp", host+":0")
@@ -73,7 +84,7 @@
 			if err != nil {
 				return
 			}
-			go serveTwice(c, echoHealth)
+			go server.serve(c)
 		}
 	}()
 	m := &mesh{store: newMemoryStore()}
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -35,7 +35,7 @@
 	}
 	l := n.admission.Load()
 	s.Gate = operator.GateStatus{
-		State: n.admissionState(), Running: l.Running, Permits: l.Permits, Queued: l.Queued, Connections: n.localBackend.pool.OpenConnections(),
+		State: n.admissionState(), Running: l.Running, Permits: l.Permits, Queued: l.Queued, Connections: n.localBackend.pool.OpenConnections() + n.healthPool.OpenConnections(),
 	}
 	v := n.snapshot.Load()
 	if v == nil {
