--- a/review/second/cmd/cases/born.go
+++ b/review/second/cmd/cases/born.go
@@ -76,6 +76,12 @@
 	clients.Wait()
 	leaving.Leave()
 
+	return judgeDrain(m, leaving, acknowledged), nil
+}
+
+// judgeDrain returns whether requests reached an instance more than drainS after its
+// draining was acknowledged.
+func judgeDrain(m *stand.Mesh, leaving *stand.Instance, acknowledged time.Time) int {
 	late, before := 0, 0
 	for _, r := range m.Runs.All() {
 		switch {
@@ -89,11 +95,11 @@
 	m.Recorder.Verdict("DRAIN: %d requests reached %s more than %s after its draining was acknowledged (%d before it)", late, leaving.ID, drain, before)
 	switch {
 	case before == 0:
-		return couldntRun, nil
+		return couldntRun
 	case late > 0:
-		return broken, nil
+		return broken
 	}
-	return held, nil
+	return held
 }
 
 // sendUntil sends a request every 20 ms.
--- a/review/second/cmd/cases/main.go
+++ b/review/second/cmd/cases/main.go
@@ -25,11 +25,12 @@
 	"slashes": slashes,
 	"born":    born,
 	"lender":  lender,
+	"late":    late,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases slashes|born|lender RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases slashes|born|lender|late RECORD")
 		os.Exit(couldntRun)
 	}
 	stopped := make(chan os.Signal, 1)
--- a/review/second/stand/instance.go
+++ b/review/second/stand/instance.go
@@ -70,6 +70,10 @@
 	state    string
 	sequence uint64
 	born     int64
+	// lateBy is by how much the store does the next beat late, zero for not.
+	lateBy time.Duration
+	// lateSent is closed when that beat is sent.
+	lateSent chan struct{}
 }
 
 // Start starts a new incarnation, which listens and writes its entry.
@@ -96,7 +100,9 @@
 			case <-ctx.Done():
 				return
 			case <-t.C:
-				i.write()
+				if !i.writeLate() {
+					i.write()
+				}
 			}
 		}
 	})
@@ -131,12 +137,45 @@
 func (i *Instance) write() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.Store.Put("servers/"+i.ID, i.nextEntry())
+}
+
+// nextEntry returns the next entry. The caller holds the mutex.
+func (i *Instance) nextEntry() map[string]any {
 	i.sequence++
-	i.Store.Put("servers/"+i.ID, map[string]any{
+	return map[string]any{
 		"address": i.Address, "born": i.born,
 		"info":   map[string]any{"service": i.Service, "version": "v1", "zone": i.Zone, "slots": i.Slots},
 		"status": map[string]any{"state": i.state, "sequence": i.sequence, "coldRemainingS": 0},
+	}
+}
+
+// DelayNextBeat lets the store do the next beat late by d, and returns once the beat is
+// sent. The instance gets no answer to it and goes on with its beats.
+func (i *Instance) DelayNextBeat(d time.Duration) {
+	sent := make(chan struct{})
+	i.mu.Lock()
+	i.lateBy, i.lateSent = d, sent
+	i.mu.Unlock()
+	<-sent
+}
+
+// writeLate writes the entry late if that was asked for.
+func (i *Instance) writeLate() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.lateBy == 0 {
+		return false
+	}
+	e, sequence, d := i.nextEntry(), i.sequence, i.lateBy
+	i.lateBy = 0
+	i.Recorder.Printf("instance %s writes sequence %d, which the store does %s later", i.ID, sequence, d)
+	time.AfterFunc(d, func() {
+		i.Store.Put("servers/"+i.ID, e)
+		i.Recorder.Printf("the store has done the write of %s with sequence %d", i.ID, sequence)
 	})
+	close(i.lateSent)
+	return true
 }
 
 func (i *Instance) serve(w http.ResponseWriter, r *http.Request) {
