--- a/review/second/cmd/cases/main.go
+++ b/review/second/cmd/cases/main.go
@@ -26,11 +26,12 @@
 	"born":    born,
 	"lender":  lender,
 	"late":    late,
+	"reset":   reset,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases slashes|born|lender|late RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases slashes|born|lender|late|reset RECORD")
 		os.Exit(couldntRun)
 	}
 	stopped := make(chan os.Signal, 1)
--- a/review/second/stand/instance.go
+++ b/review/second/stand/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,10 +60,15 @@
 	// ClockOffset returns how far the time of day of its machine is ahead of the true
 	// time.
 	ClockOffset func() time.Duration
+	// SpoilEvery lets each so many'th answer break off, zero for none: the instance answers
+	// before it has read the body, without a length, and resets the connection after half
+	// of the answer.
+	SpoilEvery int64
 
 	server   *http.Server
 	listener net.Listener
 	running  atomic.Int64
+	served   atomic.Int64
 	stopBeat context.CancelFunc
 	beats    sync.WaitGroup
 
@@ -214,6 +220,11 @@
 	}
 	defer i.running.Add(-1)
 	began := time.Now()
+	if i.SpoilEvery > 0 && i.served.Add(1)%i.SpoilEvery == 0 {
+		i.Recorder.Printf("instance %s answers %s early and breaks off", i.ID, id)
+		i.breakOff(w, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -229,12 +240,32 @@
 	case <-r.Context().Done():
 		return
 	}
-	answer := "answer of " + i.ID + " to " + id + "\n"
+	answer := Body(i.ID, id)
 	h.Set("Quetzaldock-Server-Signature", Signature(i.ID, id))
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer)
 }
 
+// breakOff sends half of an answer without a length and resets the connection.
+func (i *Instance) breakOff(w http.ResponseWriter, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	answer := Body(i.ID, id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nQuetzaldock-Request-Id: %s\r\nQuetzaldock-Server-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", id, Signature(i.ID, id), answer[:len(answer)/2])
+	if t, ok := c.(*net.TCPConn); ok {
+		// The close is then a reset in any case, not only while bytes are unread.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Body is the whole body of an instance's answer to a request.
+func Body(instance, id string) string {
+	return strings.Repeat("answer of "+instance+" to "+id+"\n", 20)
+}
+
 // Signature is the signature of an instance's answer to a request.
 func Signature(instance, id string) string { return instance + "." + id }
