--- a/review/second/cmd/cases/born.go
+++ b/review/second/cmd/cases/born.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +12,7 @@
 	// clockStep is how far the time of day jumps back, and clockStepLasts for how long.
 	clockStep      = 2 * time.Second
 	clockStepLasts = 5 * time.Second
-	// contact, drain and leaveAfter are contactS, drainS, and how long the instance serves
-	// after its report was accepted.
-	contact    = 3 * time.Second
-	drain      = 2 * time.Second
+	// leaveAfter is how long the instance serves after its report was accepted.
 	leaveAfter = 6 * time.Second
 )
 
@@ -35,11 +31,14 @@
 	}
 	defer m.Close()
 	m.Later = 1
+	for _, i := range m.Instances {
+		i.Work = handoverWork
+	}
 	leaving := m.Instances[m.Later]
 	var offset atomic.Int64
 	leaving.ClockOffset = func() time.Duration { return time.Duration(offset.Load()) }
 	err = m.Start(stand.Config(
-		7, stand.Route("view", shopHost, "/view/", "safe", "roster", 2, true), stand.Service("roster"), stand.Limits(),
+		7, stand.Route("handover", shopHost, "/handover/", "unsafe", "roster", 2, true), stand.Service("roster"), stand.Limits(),
 	))
 	if err != nil {
 		return couldntRun, err
@@ -63,61 +62,5 @@
 	m.Recorder.Printf("the time of day of %s is right", m.Machines[1].Name)
 	time.Sleep(contact + time.Second)
 
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for i, x := range m.Machines {
-		clients.Go(func() { sendUntil(stop, m, x.Outbound(), fmt.Sprintf("c%d", i)) })
-	}
-	time.Sleep(time.Second)
-	leaving.Drain()
-	acknowledged := time.Now()
-	time.Sleep(leaveAfter)
-	close(stop)
-	clients.Wait()
-	leaving.Leave()
-
-	return judgeDrain(m, leaving, acknowledged), nil
-}
-
-// judgeDrain returns whether requests reached an instance more than drainS after its
-// draining was acknowledged.
-func judgeDrain(m *stand.Mesh, leaving *stand.Instance, acknowledged time.Time) int {
-	late, before := 0, 0
-	for _, r := range m.Runs.All() {
-		switch {
-		case r.Instance != leaving.ID:
-		case r.At.Sub(acknowledged) > drain:
-			late++
-		case r.At.Before(acknowledged):
-			before++
-		}
-	}
-	m.Recorder.Verdict("DRAIN: %d requests reached %s more than %s after its draining was acknowledged (%d before it)", late, leaving.ID, drain, before)
-	switch {
-	case before == 0:
-		return couldntRun
-	case late > 0:
-		return broken
-	}
-	return held
-}
-
-// sendUntil sends a request every 20 ms.
-func sendUntil(stop <-chan struct{}, m *stand.Mesh, address, name string) {
-	t := time.NewTicker(20 * time.Millisecond)
-	defer t.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-t.C:
-		}
-		id := fmt.Sprintf("%s-%d", name, i)
-		a, err := stand.Send(address, &stand.Request{Method: "GET", Target: "/view/2f", Host: shopHost, ID: id, DeadlineMs: 800})
-		if err != nil {
-			m.Recorder.Printf("client sent %s to %s: %v", id, address, err)
-			continue
-		}
-		m.Recorder.Printf("client sent %s to %s, got %d, signature %q", id, address, a.Status, a.Signature)
-	}
+	return drainUnderLoad(m, leaving, leaveAfter), nil
 }
--- a/review/second/cmd/cases/late.go
+++ b/review/second/cmd/cases/late.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 
 	"quetzaldock.example/review2/stand"
 )
 
-// lateBy is how late the store does one write: 1 to 6 s.
-const lateBy = 4700 * time.Millisecond
+const (
+	// lateBy is how late the store does one write: 1 to 6 s.
+	lateBy = 4700 * time.Millisecond
+	// lateLeaveAfter is how long the instance serves after its report was accepted: drainS
+	// and a little longer.
+	lateLeaveAfter = 2850 * time.Millisecond
+)
 
 // late lets the store do one beat of an instance late, after it has acknowledged that the
 // instance drains. A request that reaches the instance more than drainS after that
@@ -24,29 +28,21 @@
 		return couldntRun, err
 	}
 	defer m.Close()
+	for _, i := range m.Instances {
+		i.Work = handoverWork
+	}
 	leaving := m.Instances[1]
 	err = m.Start(stand.Config(
-		7, stand.Route("view", shopHost, "/view/", "safe", "roster", 2, true), stand.Service("roster"), stand.Limits(),
+		7, stand.Route("handover", shopHost, "/handover/", "unsafe", "roster", 2, true), stand.Service("roster"), stand.Limits(),
 	))
 	if err != nil {
 		return couldntRun, err
 	}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for i, x := range m.Machines {
-		clients.Go(func() { sendUntil(stop, m, x.Outbound(), fmt.Sprintf("c%d", i)) })
-	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(4 * time.Second)
 	if trouble {
 		// The disruption ends with this write.
 		leaving.DelayNextBeat(lateBy)
 	}
-	time.Sleep(contact + 50*time.Millisecond)
-	leaving.Drain()
-	acknowledged := time.Now()
-	time.Sleep(leaveAfter)
-	close(stop)
-	clients.Wait()
-	leaving.Leave()
-	return judgeDrain(m, leaving, acknowledged), nil
+	time.Sleep(contact - time.Second + 50*time.Millisecond)
+	return drainUnderLoad(m, leaving, lateLeaveAfter), nil
 }
--- a/review/second/cmd/cases/main.go
+++ b/review/second/cmd/cases/main.go
@@ -18,20 +18,22 @@
 	couldntRun = 2
 )
 
+// shopHost is the host of the routes.
+const shopHost = "shop.example"
+
 // program is the path of the system's program.
 const program = "target/quetzaldock"
 
 var cases = map[string]func(record string, trouble bool) (int, error){
-	"slashes": slashes,
-	"born":    born,
-	"lender":  lender,
-	"late":    late,
-	"reset":   reset,
+	"reset":  reset,
+	"late":   late,
+	"born":   born,
+	"lender": lender,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases slashes|born|lender|late|reset RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases reset|late|born|lender RECORD")
 		os.Exit(couldntRun)
 	}
 	stopped := make(chan os.Signal, 1)
