--- a/review/second/stand/machine.go
+++ b/review/second/stand/machine.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// The ports of a machine, the same on all machines.
+// Ports are the ports of a machine, the same on all machines.
 type Ports struct{ Outbound, Inbound, Ready, Control, Operator, App int }
 
 // bounds are the bounds of a deployment of 13 machines.
