--- a/review/second/cmd/cases/late.go
+++ b/review/second/cmd/cases/late.go
@@ -44,5 +44,5 @@
 		leaving.DelayNextBeat(lateBy)
 	}
 	time.Sleep(contact - time.Second + 50*time.Millisecond)
-	return drainUnderLoad(m, leaving, lateLeaveAfter), nil
+	return drainUnderLoad(m, 1, lateLeaveAfter), nil
 }
--- a/review/second/cmd/cases/lender.go
+++ b/review/second/cmd/cases/lender.go
@@ -12,11 +12,13 @@
 
 const (
 	// smallRate and smallBurst are the limit of the account that sends too much, in
-	// requests per second and requests, and hotFactor times its rate is what it sends.
+	// requests per second and requests. The limit is 1.6 times what the account usually
+	// sends, as in the site file, and it sends 7.5 times its usual now.
 	smallRate  = 6.0
 	smallBurst = 6.0
-	hotFactor  = 7.5
 	hotFor     = 6500 * time.Millisecond
+	// hotInterval is the time between two of its requests: 1 s / (6 / 1.6 x 7.5).
+	hotInterval = 35556 * time.Microsecond
 	// The bounds of the rule QUOTA.
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.25
@@ -118,7 +120,7 @@
 func sendTooMuch(m *stand.Mesh, leaving []int) map[string]time.Time {
 	var clients sync.WaitGroup
 	sent := map[string]time.Time{}
-	t := time.NewTicker(time.Second / time.Duration(smallRate*hotFactor))
+	t := time.NewTicker(hotInterval)
 	defer t.Stop()
 	began := time.Now()
 	for i := 0; time.Since(began) < hotFor; i++ {
--- a/review/second/stand/instance.go
+++ b/review/second/stand/instance.go
@@ -63,7 +63,7 @@
 	// SpoilEvery lets each so many'th answer break off, zero for none: the instance answers
 	// before it has read the body, without a length, and resets the connection after half
 	// of the answer.
-	SpoilEvery int64
+	SpoilEvery atomic.Int64
 
 	server   *http.Server
 	listener net.Listener
@@ -132,8 +132,12 @@
 	i.Recorder.Printf("instance %s: draining is acknowledged", i.ID)
 }
 
-// Leave ends an instance that has drained and removes its entry.
+// Leave ends an instance that has drained, after its running requests, and removes its
+// entry.
 func (i *Instance) Leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	_ = i.server.Shutdown(ctx)
+	cancel()
 	i.Crash()
 	i.Store.Delete("servers/" + i.ID)
 	i.Recorder.Printf("entry of %s is removed", i.ID)
@@ -220,7 +224,7 @@
 	}
 	defer i.running.Add(-1)
 	began := time.Now()
-	if i.SpoilEvery > 0 && i.served.Add(1)%i.SpoilEvery == 0 {
+	if n := i.SpoilEvery.Load(); n > 0 && i.served.Add(1)%n == 0 {
 		i.Recorder.Printf("instance %s answers %s early and breaks off", i.ID, id)
 		i.breakOff(w, id)
 		return
