http1: refuse a response without a length whose connection is reset

Callers got a complete, signed 200 with half of an instance's body: the instance answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the first call. If the goroutine that writes the request gets the error, the one that reads the response sees the end of the stream, as after an orderly close. responseBody.Read took that for the end of the body.

countingWriter now keeps the error of the first write that failed. At the end of a stream that ends a body, checkOrderlyEnd ends the write in progress, waits for it, and fails the response if a write has got an error. This has no race: if the read sees the end although the connection was reset, the write whose system call took the error holds the mutex until the error is stored. EPIPE is no failure: Linux returns it first only if the peer had closed its direction before the reset, so a complete early response still arrives. Both commands and all calls between nodes use this client.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -51,7 +52,7 @@
 		x.release(false)
 		return nil, x.classifyError(ctx, err)
 	}
-	a.Body = &responseBody{exchange: x, ctx: ctx, reader: a.Body, closeConnection: a.Close}
+	a.Body = &responseBody{exchange: x, ctx: ctx, reader: a.Body, closeConnection: a.Close, untilClose: endsWithConnection(a)}
 	return a, nil
 }
 
@@ -141,6 +142,19 @@
 	}
 }
 
+// checkOrderlyEnd returns an error if the end of the stream that a read has seen may stand
+// for a broken connection. The kernel reports that only once. If a write of the request
+// gets the error, reads see the end of the stream, as after an orderly close.
+func (x *exchange) checkOrderlyEnd() error {
+	err := x.conn.countedOut.end()
+	if errors.Is(err, syscall.EPIPE) {
+		// Linux reports a reset as ECONNRESET first, and as EPIPE if the peer had closed
+		// its direction before: the response is complete.
+		return nil
+	}
+	return err
+}
+
 // isClosedByPeer reports whether err means that the peer closed or reset the
 // connection.
 func isClosedByPeer(err error) bool {
@@ -198,23 +212,42 @@
 	// closeConnection is set if the peer closes the connection after the
 	// response.
 	closeConnection bool
-	finished        atomic.Bool
+	// untilClose is set if the body ends with its connection.
+	untilClose bool
+	finished   atomic.Bool
+}
+
+// endsWithConnection reports whether only the end of the connection ends the body of a
+// response.
+func endsWithConnection(a *http.Response) bool {
+	return a.Close && a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody
 }
 
 // Read implements io.Reader. If the body is cut short, the error is of type
 // Interrupted or Expired, never io.EOF.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	switch {
-	case err == nil:
+	if err == nil {
 		return n, nil
-	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		b.finish(true)
-		return n, io.EOF
-	default:
+	}
+	if err := b.checkEnd(err); err != nil {
 		b.finish(false)
 		return n, b.exchange.classifyError(b.ctx, err)
 	}
+	b.finish(true)
+	return n, io.EOF
+}
+
+// checkEnd returns nil if a body whose last read returned err is complete, and otherwise
+// why it is not.
+func (b *responseBody) checkEnd(err error) error {
+	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	if b.untilClose {
+		return b.exchange.checkOrderlyEnd()
+	}
+	return nil
 }
 
 // Close implements io.Closer. Before the end of the body it closes the
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -76,19 +77,41 @@
 	// closedByPeer is set once a write failed because the peer had closed the
 	// connection.
 	closedByPeer atomic.Bool
+
+	// mu is held during a write and guards the field below.
+	mu sync.Mutex
+	// failure is the error of the first write that failed, nil before.
+	failure error
 }
 
 // Write implements io.Writer. The write is counted before it is made, so that no
 // byte of a request was sent while the count is unchanged.
 func (w *countingWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.writes.Add(1)
 	n, err := w.conn.Write(b)
 	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
 		w.closedByPeer.Store(true)
 	}
+	if w.failure == nil {
+		w.failure = err
+	}
 	return n, err
 }
 
+// end ends the write in progress, makes later ones fail, and returns the error of the
+// first write that failed before, nil if there was none.
+func (w *countingWriter) end() error {
+	_ = w.conn.SetWriteDeadline(time.Unix(1, 0))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if errors.Is(w.failure, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return w.failure
+}
+
 // A limitedReader reads from a connection. While limited is set, it fails once
 // the remaining bytes have been read.
 type limitedReader struct {
