http1: refuse responses in which the name of a field is no token

Callers got a response of an instance with a header line such as "Bad Name: x" or "Content-Length : 3": with that line passed on, or with a body that was not the instance's, since its length was overlooked.

Cause: http.ReadResponse accepts a space in a name, also before the colon, and joins a line that begins with a blank to the one before. It refuses control bytes; that held before.

fieldNameCheck reads each header as it arrives, interim ones included, and fails at the first byte that cannot belong to a name. The error stays until the next header, since the parser of net/http drops the errors of some reads. Names of chunked trailers are checked once they were read. Both commands, health checks, probes and calls between nodes use this client. Folded lines are refused as a whole, see RFC 9112, section 5.2.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -52,7 +52,7 @@
 		x.release(false)
 		return nil, x.classifyError(ctx, err)
 	}
-	a.Body = &responseBody{exchange: x, ctx: ctx, reader: a.Body, closeConnection: a.Close, untilClose: endsWithConnection(a)}
+	a.Body = &responseBody{exchange: x, ctx: ctx, reader: a.Body, response: a, untilClose: endsWithConnection(a)}
 	return a, nil
 }
 
@@ -209,9 +209,8 @@
 	exchange *exchange
 	ctx      context.Context
 	reader   io.ReadCloser
-	// closeConnection is set if the peer closes the connection after the
-	// response.
-	closeConnection bool
+	// response is the response that this is the body of.
+	response *http.Response
 	// untilClose is set if the body ends with its connection.
 	untilClose bool
 	finished   atomic.Bool
@@ -247,7 +246,7 @@
 	if b.untilClose {
 		return b.exchange.checkOrderlyEnd()
 	}
-	return nil
+	return CheckFieldNames(b.response.Trailer)
 }
 
 // Close implements io.Closer. Before the end of the body it closes the
@@ -260,6 +259,6 @@
 // finish releases the connection; complete is whether the whole body was read.
 func (b *responseBody) finish(complete bool) {
 	if b.finished.CompareAndSwap(false, true) {
-		b.exchange.release(complete && !b.closeConnection)
+		b.exchange.release(complete && !b.response.Close)
 	}
 }
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -20,6 +20,10 @@
 // come first.
 var validStart = regexp.MustCompile(`^HTTP/1\.\d +[1-5]\d\d[ \r\n]`)
 
+// validHeader matches the fields of the first header of each response that may be passed
+// on: their names are tokens.
+var validHeader = regexp.MustCompile("^[^\n]*\n(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\n]*\n)*\r?\n")
+
 // FuzzResponse lets a peer answer each request on a connection with the given bytes.
 // Guards against bytes that are no valid response and are passed on, that keep a request
 // waiting after the peer has closed the connection, or that reach the next request.
@@ -41,6 +45,9 @@
 		if !validStart.Match(text) || a.StatusCode < http.StatusOK || a.StatusCode > 599 || a.ProtoMajor != 1 {
 			t.Fatalf("status %q, protocol %s", a.Status, a.Proto)
 		}
+		if !validHeader.Match(text) {
+			t.Fatalf("header %q", a.Header)
+		}
 		body, err := io.ReadAll(a.Body)
 		if err != nil {
 			checkFailure(t, p, err)
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -112,12 +112,16 @@
 	return w.failure
 }
 
-// A limitedReader reads from a connection. While limited is set, it fails once
-// the remaining bytes have been read.
+// A limitedReader reads from a connection. While limited is set, it reads headers: it
+// fails once the remaining bytes have been read, or at an invalid name of a field.
 type limitedReader struct {
 	conn      net.Conn
 	limited   bool
 	remaining int
+	names     fieldNameCheck
+	// invalid is the error of names. It stays until the next header: the parser of
+	// net/http drops the errors of some reads.
+	invalid error
 }
 
 // Read implements io.Reader.
@@ -125,14 +129,27 @@
 	if !r.limited {
 		return r.conn.Read(b)
 	}
+	if r.invalid != nil {
+		return 0, r.invalid
+	}
 	if r.remaining <= 0 {
 		return 0, io.ErrUnexpectedEOF
 	}
 	n, err := r.conn.Read(b[:min(len(b), r.remaining)])
 	r.remaining -= n
+	if r.invalid = r.names.add(b[:n]); r.invalid != nil {
+		return 0, r.invalid
+	}
 	return n, err
 }
 
+// beginHeader is called before a header is read, a part of which may be buffered.
+func (r *limitedReader) beginHeader(buffered []byte) error {
+	r.names = fieldNameCheck{}
+	r.invalid = r.names.add(buffered)
+	return r.invalid
+}
+
 // NewPool returns a pool of connections to an address over TCP without TLS.
 func NewPool(address string) *Pool {
 	return &Pool{
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -59,6 +59,10 @@
 
 // readHeader reads the header of a response, which may be an interim one.
 func (c *conn) readHeader(r *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.limitedIn.beginHeader(buffered); err != nil {
+		return nil, err
+	}
 	if err := c.checkStatusLine(); err != nil {
 		return nil, err
 	}
