platform, configservice: refuse answers in which the name of a field is no token

A node took an answer of the store, or of the configuration service, whose header had a line such as "Store-Era : 3" or "Content-Length : 500": the era was read as 0, and a body of any length was accepted.

Cause: both clients read answers with the transport of net/http, which accepts a space in a name.

--- a/internal/configservice/client.go
+++ b/internal/configservice/client.go
@@ -15,13 +15,14 @@
 	"github.com/go-resty/resty/v2"
 	"github.com/joomcode/errorx"
 
+	"quetzaldock.example/quetzaldock/internal/http1"
 	"quetzaldock.example/quetzaldock/pkg/config"
 )
 
 var namespace = errorx.NewNamespace("platform")
 
 var (
-	// Unreachable means that no complete answer was received.
+	// Unreachable means that no complete and valid answer was received.
 	Unreachable = namespace.NewType("unreachable", errorx.Temporary())
 	// Throttled means that the service is over its capacity (status 429).
 	Throttled = namespace.NewType("throttled", errorx.Temporary())
@@ -58,6 +59,7 @@
 func New(baseURL string) *Client {
 	c := resty.New().SetBaseURL(baseURL).SetRetryCount(0).SetResponseBodyLimit(config.MaxValueBytes)
 	c.SetRedirectPolicy(resty.NoRedirectPolicy())
+	c.OnAfterResponse(func(_ *resty.Client, r *resty.Response) error { return http1.CheckFieldNames(r.Header()) })
 	c.SetTransport(&http.Transport{
 		MaxIdleConns: 4, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true,
 	})
