Tests of a response with status 000 in each framing and during an upload

An instance in trouble was reported to send responses with status 000 that callers get. No product code changes.

--- a/internal/backend/statusline_test.go
+++ b/internal/backend/statusline_test.go
@@ -16,7 +16,9 @@
 func TestInvalidStatusLinesAreNotPassedOn(t *testing.T) {
 	const body = "Content-Length: 5\r\n\r\nwrong"
 	for _, head := range []string{
-		"HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 000 None\r\n", "HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 000 None\r\n",
+		"HTTP/1.1 000 None\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", "HTTP/1.1 000 None\r\nConnection: close\r\n\r\nwrong",
+		"HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\n",
 		"HTTP/1.1 600 None\r\n", "HTTP/1.1 999 None\r\n", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 10000) + "HTTP/1.1 200 OK\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 20000 OK\r\n",
 		"HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 -00 OK\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1\r\n", "", "HTTP/0.9 200 OK\r\n", "HTTP/2.0 200 OK\r\n",
--- a/internal/http1/statusline_test.go
+++ b/internal/http1/statusline_test.go
@@ -26,6 +26,8 @@
 	for _, c := range []struct{ name, text string }{
 		{"000", "HTTP/1.1 000 None\r\n\r\n"},
 		{"000 with a body", "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong"},
+		{"000 with a body in chunks", "HTTP/1.1 000 None\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"},
+		{"000 with a body until close", "HTTP/1.1 000 None\r\nConnection: close\r\n\r\nwrong"},
 		{"000 without reason", "HTTP/1.1 000\r\n\r\n"},
 		{"000 in HTTP/1.0", "HTTP/1.0 000 None\r\n\r\n"},
 		{"000 after more spaces", "HTTP/1.1   000 None\r\n\r\n"},
--- a/internal/sidecar/reset_test.go
+++ b/internal/sidecar/reset_test.go
@@ -84,6 +84,12 @@
 // answerUploads makes the backend server answer an upload to the path /entry/N with the
 // response at index N.
 func (b *backendServer) answerUploads(t *testing.T, responses []uploadResponse) {
+	t.Helper()
+	b.answerUploadsWith(t, okLine, responses)
+}
+
+// answerUploadsWith is answerUploads with another status line.
+func (b *backendServer) answerUploadsWith(t *testing.T, statusLine string, responses []uploadResponse) {
 	t.Helper()
 	b.handle = func(w http.ResponseWriter, r *http.Request) {
 		i, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/entry/"))
@@ -97,7 +103,7 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, okLine+echoedID(r)+"Connection: close\r\n"+responses[i].text)
+		_, _ = io.WriteString(c, statusLine+echoedID(r)+"Connection: close\r\n"+responses[i].text)
 		responses[i].end(c.(*net.TCPConn))
 	}
 }
--- a/internal/sidecar/statusline_test.go
+++ b/internal/sidecar/statusline_test.go
@@ -19,6 +19,8 @@
 	streams := []stream{
 		{name: "000", head: "HTTP/1.1 000 None\r\n\r\n" + wrong},
 		{name: "000 with a body", head: "HTTP/1.1 000 None\r\n" + body},
+		{name: "000 with a body in chunks", head: "HTTP/1.1 000 None\r\n" + chunked + "5\r\nwrong\r\n0\r\n\r\n"},
+		{name: "000 with a body until close", head: "HTTP/1.1 000 None\r\nConnection: close\r\n\r\nwrong"},
 		{name: "099", head: "HTTP/1.1 099 None\r\n\r\n" + wrong},
 		{name: "600", head: "HTTP/1.1 600 None\r\n" + body},
 		{name: "999", head: "HTTP/1.1 999 None\r\n" + body},
@@ -44,3 +46,23 @@
 		})
 	}
 }
+
+// Guards against an invalid status that reaches a caller if the instance sends it before it
+// has read the upload.
+func TestInvalidStatusDuringAnUploadReachesNoCaller(t *testing.T) {
+	m := newMeshWithOneInstance(t)
+	var responses []uploadResponse
+	for framing, body := range framedBody(1000) {
+		responses = append(
+			responses,
+			uploadResponse{framing + ", half-closed", body.whole, true, endResponse},
+			uploadResponse{framing + ", reset", body.whole, true, resetConnection},
+		)
+	}
+	m.backends[0].answerUploadsWith(t, "HTTP/1.1 000 None\r\n", responses)
+	for i, r := range responses {
+		m.uploadToAll(t, i, func(node, status, size int, err error) {
+			assert.Check(t, status == http.StatusBadGateway && err == nil, "%s at node %d: status %d, %d bytes, error %v", r.name, node, status, size, err)
+		})
+	}
+}
