sidecar: log a response that breaks off in its body beside its instance

Operators found no line at the host beside the instance for a response that was reset after its header: only a failed header was logged there, though OPERATIONS.md promises a line for an answer that broke off. The caller's host says "connection closed" for it and does not name the cause.

localBackend now writes "no whole answer of the backend server" for a body that ends with an error of type http1.Interrupted, under the same limit of lines. Responses that end because the caller left or the deadline passed are not logged.

TestResponseThatIsResetIsLoggedBesideItsInstance failed before ("no log lines").

--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -102,6 +102,9 @@
 	done := func(ran bool, err error) (crashes int) {
 		if err != nil {
 			crashes = l.crashes.Failed(ctx, x, err)
+			if errorx.IsOfType(err, http1.Interrupted) {
+				l.onFailure(r.Header.Get(l.names.RequestID), r.Instance, err)
+			}
 		} else {
 			l.crashes.End(x, ran)
 		}
--- a/internal/sidecar/reset_test.go
+++ b/internal/sidecar/reset_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -199,6 +200,20 @@
 	waitFor(t, "free slots", func() bool { return m.nodes[0].admission.Load().Running == 0 })
 }
 
+// Guards against a response that breaks off in its body, which operators cannot find in the
+// log of the host beside the instance.
+func TestResponseThatIsResetIsLoggedBesideItsInstance(t *testing.T) {
+	log := &lockedBuffer{}
+	m := newMeshWith(t, 1, func(n *Node) { n.Log = slog.New(slog.NewTextHandler(log, nil)) })
+	m.backends[0].answerUploads(t, []uploadResponse{{"", "\r\nhalf", true, resetConnection}})
+	a := m.send(t, 0, http.MethodPost, "/entry/0")
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	waitFor(t, "log lines", func() bool {
+		return log.line("no whole answer of the backend server", "instance=i-0", "connection closed by peer") != "" &&
+			log.line("request ended", "status=502", "reason=NoWholeAnswer") != ""
+	})
+}
+
 // Guards against a complete response that is lost because its connection ends while the
 // upload is still written.
 func TestResponseBeforeTheEndOfAnUploadIsWhole(t *testing.T) {
