--- a/internal/call/duplexbody.go
+++ b/internal/call/duplexbody.go
@@ -256,6 +256,7 @@
 	case remains && (complete || !late):
 		<-wait
 	case remains:
+		// The client gets the time once net/http has completed the response.
 		http1.LingerOnClose(b.ctx)
 	}
 	if !b.hasEnded() {
--- a/internal/http1/fieldnames.go
+++ b/internal/http1/fieldnames.go
@@ -48,7 +48,8 @@
 	return nil
 }
 
-// advance moves on by a byte that is not inLine, and reports whether it is valid there.
+// advance moves on by a byte of the name of a field or of the empty line that ends the
+// header, and reports whether the byte is valid there.
 func (f *fieldNameCheck) advance(x byte) bool {
 	switch {
 	case x == '\n' && (f.position == atLineStart || f.position == afterReturn):
