http1: reset the connection of an HTTP/1.0 client if a response breaks off

A caller that speaks HTTP/1.0 got a part of a long response as a complete 200.

Cause: to HTTP/1.0 a response without a length ends with the connection. A handler that cannot complete it panics with http.ErrAbortHandler, and net/http then closes the connection in order.

While a handler serves a request of HTTP/1.0, serverNetConn.Close now resets the connection. If the handler returns, the response is complete and the connection is closed as before.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -83,13 +83,22 @@
 			w.Header().Set("Connection", "close")
 		}
 		defer s.logPanic(r)
-		if c, ok := n.(*serverNetConn); ok && c.share != nil {
+		c, ok := n.(*serverNetConn)
+		if ok && c.share != nil {
 			if !c.beginRequest(w, r) {
 				return
 			}
 			defer c.endRequest()
 		}
+		if ok && !r.ProtoAtLeast(1, 1) {
+			// The response may end with the connection. It must not look complete if the
+			// handler panics.
+			c.resets.Store(true)
+		}
 		handler.ServeHTTP(w, r)
+		if ok {
+			c.resets.Store(false)
+		}
 	})
 	h.ConnState = func(n net.Conn, state http.ConnState) {
 		s.onStateChange(n, state)
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -28,6 +28,8 @@
 	refused atomic.Bool
 	// lingers is set if Close gives the client time to read the response.
 	lingers atomic.Bool
+	// resets is set while a close resets the connection.
+	resets atomic.Bool
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -64,6 +66,9 @@
 
 // Close implements net.Conn.
 func (c *serverNetConn) Close() error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.resets.Load() {
+		_ = l.SetLinger(0)
+	}
 	if c.lingers.Swap(false) {
 		_ = c.CloseWrite()
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/sidecar/reset_test.go
+++ b/internal/sidecar/reset_test.go
@@ -200,6 +200,36 @@
 	waitFor(t, "free slots", func() bool { return m.nodes[0].admission.Load().Running == 0 })
 }
 
+// Guards against a response that breaks off and looks complete to a caller that speaks
+// HTTP/1.0, to which a response without a length ends with its connection.
+func TestResponseThatIsResetIsNotCompleteInHTTP10(t *testing.T) {
+	m := newMeshWithOneInstance(t)
+	var responses []uploadResponse
+	for framing, body := range framedBody(4 * maxBufferedResponseBytes) {
+		responses = append(responses, uploadResponse{framing, body.half, false, resetConnection}, uploadResponse{framing + ", whole", body.whole, false, endResponse})
+	}
+	m.backends[0].answerUploads(t, responses)
+	for i, r := range responses {
+		for node := range m.nodes {
+			c, err := net.Dial("tcp", m.nodes[node].Settings.CallerAddress)
+			assert.NilError(t, err)
+			_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+			_, err = fmt.Fprintf(c, "POST /entry/%d HTTP/1.0\r\nHost: mesh\r\n%s: r%d\r\n%s: 15000\r\n%s: secret\r\nContent-Length: 0\r\n\r\n",
+				i, testHeaders.RequestID, requests.Add(1), testHeaders.TimeLeft, testHeaders.Key)
+			assert.NilError(t, err)
+			a, err := http.ReadResponse(bufio.NewReader(c), nil)
+			size := int64(0)
+			if err == nil {
+				size, err = io.Copy(io.Discard, a.Body)
+			}
+			_ = c.Close()
+			complete := err == nil && a.StatusCode == http.StatusOK
+			assert.Check(t, complete == strings.HasSuffix(r.name, "whole"), "%s at node %d: %d bytes, error %v", r.name, node, size, err)
+			assert.Check(t, !complete || size == 4*maxBufferedResponseBytes, "%s at node %d: %d bytes", r.name, node, size)
+		}
+	}
+}
+
 // Guards against a response that breaks off in its body, which operators cannot find in the
 // log of the host beside the instance.
 func TestResponseThatIsResetIsLoggedBesideItsInstance(t *testing.T) {
