sidecar: log when updates come into force and instances get no new requests

The logs had only the configuration in force and the admission of the node beside the instance. Now each update with a configuration, and each one that took 250 ms longer than its wait, is logged with the times of reading and applying it, and each instance that stops getting requests from a node.

--- a/internal/sidecar/instances.go
+++ b/internal/sidecar/instances.go
@@ -17,6 +17,7 @@
 	v := n.directory.View()
 	if v != n.appliedView {
 		n.chooser.SetTargets(n.balanceTargets(v))
+		n.logEndedUse(n.appliedView, v)
 		n.appliedView = v
 	}
 	if hosts := n.requestHosts.count(); v.Addresses != n.appliedAddresses || hosts != n.appliedHosts {
@@ -32,6 +33,18 @@
 	n.updateAdmission()
 }
 
+// logEndedUse reports the instances that get no new requests any more.
+func (n *Node) logEndedUse(before, now *fleet.View) {
+	if before == nil {
+		return
+	}
+	for id, i := range before.Instances {
+		if o := now.Instances[id]; before.Usable(i) && (o == nil || !now.Usable(o)) {
+			n.Log.Info("instance gets no new requests", "instance", id, "published", o != nil)
+		}
+	}
+}
+
 // updateSources tells the source selector which nodes exist: those beside
 // instances and those that sent requests.
 func (n *Node) updateSources(v *fleet.View) {
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -60,6 +60,9 @@
 	// localChanges, if not nil, is what this node applies instead of Changes, see
 	// holdLocalRemoval. Other nodes get Changes.
 	localChanges []fleet.Change
+	// source is where the update was read, from askedAt to readAt.
+	source          string
+	askedAt, readAt time.Time
 }
 
 func (u *Update) position() relay.Position { return relay.Position{Era: u.Era, Revision: u.Revision} }
@@ -239,6 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
+	u.source, u.askedAt, u.readAt = from, asked, time.Now()
 	if from == relay.StoreSource {
 		u.Full, u.Origin = !known, n.settings().ControlAddress
 		// A watch without a change is answered at the end of its wait.
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -14,6 +14,9 @@
 	// The rest covers windows in which requests and retries are spread unevenly.
 	retryBudgetShare = 0.75
 	percent          = 100
+	// slowUpdate is the duration of a read, beyond its wait, or of its application that
+	// is reported.
+	slowUpdate = 250 * time.Millisecond
 )
 
 // applyUpdate applies an update that was read and records it for other nodes.
@@ -50,6 +53,22 @@
 		n.applyConfig(u.Published)
 	}
 	n.recordUpdate(u, before)
+	n.logUpdate(u, len(changes))
+}
+
+// logUpdate reports the times of an update that was applied. Beats of instances are only
+// reported if they took long.
+func (n *Node) logUpdate(u *Update, changes int) {
+	read, applied := u.readAt.Sub(u.askedAt), time.Since(u.readAt)
+	if u.readAt.IsZero() || (u.Published == nil && applied < slowUpdate && read < watchWait+slowUpdate) {
+		return
+	}
+	version := uint64(0)
+	if u.Published != nil {
+		version = u.Published.Version
+	}
+	n.Log.Info("published state applied", "source", sourceName(u.source), "revision", u.Revision, "full", u.Full, "changes", changes, "version", version,
+		"read_ms", read.Milliseconds(), "apply_ms", applied.Milliseconds())
 }
 
 // applyConfig puts a published configuration in force if it is newer than the
