fleet: hold back entries that are older than what is known of their instance

Cause: of two entries of one start the one that came later counted, whatever its sequence; an entry with an earlier start time was ignored for good. A store that does a write late so undid a drain or a removal at all nodes, until the instance's next beat.

TestLateEntryBehindADrainBringsNoRequests failed on: 'no late entry at i-0', the entry was applied. TestOnlyARestoreHoldsEntriesBack asked for exactly this fault; its place take TestLateEntryDoesNotReturnAnInstance, which asks for the opposite, and a check of all orders of each subset of seven writes, by watch, listing and both.

Change: an entry is compared by start and sequence with what is known, or with the removal, in the one function that all reads end in. An older one is held back until the instance writes again or 6.5 s have passed while the store was read. Changes carry the store's revision, so one that comes twice is ignored.

Why it works: within one start the sequence is the instance's own order, whatever the store does. Of two starts the order is only presumed, so an entry that stays counts.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -75,6 +75,7 @@
 	// missing holds the IDs of instances whose entry is missing, and the time at
 	// which each is removed.
 	missing map[string]time.Time
+	held
 	restored
 
 	view    atomic.Pointer[View]
@@ -94,7 +95,7 @@
 	d := &Directory{
 		Now: time.Now, ExpiryGrace: expiryGrace, MinOutage: defaultMinOutage, EntryLife: defaultEntryLife,
 		instances: map[string]*Instance{}, zonesOut: map[string]bool{}, missing: map[string]time.Time{},
-		restored: newRestored(), changed: make(chan struct{}),
+		held: newHeld(), restored: newRestored(), changed: make(chan struct{}),
 	}
 	d.updateView()
 	return d
@@ -133,7 +134,6 @@
 
 func (d *Directory) replace(changes []Change, now time.Time) {
 	listed := map[string]bool{}
-	clear(d.outdated)
 	d.zonesOut = map[string]bool{}
 	for i := range changes {
 		d.apply(&changes[i], now)
@@ -146,6 +146,11 @@
 			d.removeUnlisted(id, now)
 		}
 	}
+	for id := range d.outdated {
+		if !listed[id] {
+			delete(d.outdated, id)
+		}
+	}
 }
 
 // Confirm records that the changes applied next are the store's state as of a
@@ -158,6 +163,7 @@
 	defer d.mu.Unlock()
 	if !d.confirmedAt.IsZero() && asOf.Sub(d.confirmedAt) >= d.MinOutage {
 		d.graceUntil = d.Now().Add(d.ExpiryGrace)
+		d.extendHeld(d.confirmedAt, asOf, d.graceUntil)
 	}
 	if asOf.After(d.confirmedAt) {
 		d.confirmedAt = asOf
@@ -179,8 +185,8 @@
 			all = append(all, *i)
 		}
 	}
-	for _, i := range d.outdated {
-		all = append(all, i)
+	for _, h := range d.outdated {
+		all = append(all, h.instance)
 	}
 	return all, maps.Clone(d.zonesOut)
 }
@@ -191,7 +197,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
-	expired := d.expireRestored(now)
+	expired := d.expireZones(now)
+	expired = d.expireHeld(now) || expired
 	for id, until := range d.missing {
 		if !now.Before(until) {
 			d.deleteInstance(id)
@@ -206,23 +213,13 @@
 func (d *Directory) apply(c *Change, now time.Time) {
 	switch c.Kind {
 	case InstanceSet:
-		i := c.Instance
-		if d.isOutdated(&i, now) {
-			d.outdated[i.ID] = i
-			if _, removed := d.removed[i.ID]; !removed {
-				delete(d.missing, i.ID)
-			}
-			return
+		if !d.isRepeated(c.Instance.ID, c.revision()) {
+			d.setInstance(c.Instance, now)
 		}
-		if known := d.instances[i.ID]; known != nil && !i.supersedes(known) {
-			return
-		}
-		d.instances[i.ID] = &i
-		delete(d.missing, i.ID)
-		delete(d.outdated, i.ID)
-		delete(d.removed, i.ID)
 	case InstanceRemoved:
-		d.removeInstance(c.ID, now)
+		if !d.isRepeated(c.ID, c.revision()) {
+			d.removeInstance(c.ID, now)
+		}
 	case ZoneOut:
 		d.zonesOut[c.Zone] = true
 	case ZoneIn:
@@ -231,6 +228,21 @@
 	}
 }
 
+// setInstance applies a published entry, or holds it back if it is outdated.
+func (d *Directory) setInstance(i Instance, now time.Time) {
+	if reference, outdated := d.outdatedBy(&i); outdated {
+		d.hold(&i, reference, now)
+		if _, removed := d.removed[i.ID]; !removed {
+			delete(d.missing, i.ID)
+		}
+		return
+	}
+	d.instances[i.ID] = &i
+	delete(d.missing, i.ID)
+	delete(d.outdated, i.ID)
+	delete(d.removed, i.ID)
+}
+
 // removeInstance applies the removal of an entry.
 func (d *Directory) removeInstance(id string, now time.Time) {
 	known := d.instances[id]
--- a/pkg/fleet/instance.go
+++ b/pkg/fleet/instance.go
@@ -47,23 +47,18 @@
 	// Born is the start time in Unix milliseconds of the backend server's own
 	// clock, zero if it is not published. It is used only to tell starts apart.
 	Born int64
+	// Revision is the store's revision of the entry within its era, zero if it is not
+	// known.
+	Revision uint64
 	// ColdFor is how long the backend server stays cold, with a low limit of
 	// requests per second, from the time of publication.
 	ColdFor time.Duration
 }
 
-// supersedes reports whether i replaces o, an entry with the same ID. An entry of
-// an earlier start does not.
-func (i *Instance) supersedes(o *Instance) bool {
-	if i.Born != o.Born && i.Born != 0 && o.Born != 0 {
-		return i.Born > o.Born
-	}
-	return true
-}
-
 // compare orders two entries of one instance by start and sequence: it returns -1,
 // 0 or 1 if i is earlier than, the same as or later than o. It reports false if an
-// entry has no start time, or neither has a sequence.
+// entry has no start time, or neither has a sequence. Within one start the order is
+// certain; between starts it is that of a clock that may have jumped.
 func (i *Instance) compare(o *Instance) (int, bool) {
 	if i.Born == 0 || o.Born == 0 || (i.Born == o.Born && i.Sequence == 0 && o.Sequence == 0) {
 		return 0, false
@@ -99,4 +94,14 @@
 	// Reason states why an entry does not describe an instance. It is empty if
 	// the entry was removed.
 	Reason string
+	// Revision is the store's revision of an InstanceRemoved, see Instance.Revision.
+	Revision uint64
+}
+
+// revision returns the store's revision of a change, zero if it is not known.
+func (c *Change) revision() uint64 {
+	if c.Kind == InstanceSet {
+		return c.Instance.Revision
+	}
+	return c.Revision
 }
--- a/pkg/fleet/restore.go
+++ b/pkg/fleet/restore.go
@@ -2,14 +2,6 @@
 
 import "time"
 
-const (
-	// removalRetention is how long a removed instance is recorded. The copies from
-	// which a store comes back are younger.
-	removalRetention = time.Minute
-	// maxRemovals is the number of removed instances that are recorded.
-	maxRemovals = 1024
-)
-
 // restored is the part of a Directory that deals with a store that has come back
 // from an earlier copy. Until instances and operators have written again, the copy
 // lacks some entries and has others that are no longer true.
@@ -17,12 +9,6 @@
 	// rewrittenBy is the time by which live instances and operators have written
 	// again what the store has lost.
 	rewrittenBy time.Time
-	// outdatedUntil is the time until which outdated entries are held back.
-	outdatedUntil time.Time
-	// outdated holds, by ID, the published entries that are held back.
-	outdated map[string]Instance
-	// removed holds the instances that were removed lately, as last published.
-	removed map[string]removal
 	// rewritten holds the instances whose entries were written again after the
 	// store came back.
 	rewritten map[string]bool
@@ -31,29 +17,23 @@
 	zonesKept map[string]time.Time
 }
 
-// A removal is a removed instance and the time at which it was removed.
-type removal struct {
-	instance Instance
-	at       time.Time
-}
-
 func newRestored() restored {
-	return restored{outdated: map[string]Instance{}, removed: map[string]removal{}, zonesKept: map[string]time.Time{}, rewritten: map[string]bool{}}
+	return restored{zonesKept: map[string]time.Time{}, rewritten: map[string]bool{}}
 }
 
 // Restore applies the first full listing of a store that has come back from an
 // earlier copy. Instances that it does not contain have ExpiryGrace to be written
-// again. Entries that are older than those that this directory knew are held back
-// until the store would have dropped them if their instances were gone, and zones
-// that it does not contain stay out as long; then what is published counts.
+// again. Zones that it does not contain stay out as long as outdated entries are held
+// back; then what is published counts.
 func (d *Directory) Restore(changes []Change) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
 	d.rewrittenBy = now.Add(d.ExpiryGrace)
 	d.graceUntil = d.rewrittenBy
-	d.outdatedUntil = now.Add(d.EntryLife + d.ExpiryGrace)
+	zonesUntil := now.Add(d.holdTime())
 	clear(d.rewritten)
+	clear(d.revisions)
 	// An entry that was missing before may have been written and lost once more,
 	// unless its removal was published.
 	for id := range d.missing {
@@ -62,10 +42,10 @@
 		}
 	}
 	for zone := range d.zonesOut {
-		d.zonesKept[zone] = d.outdatedUntil
+		d.zonesKept[zone] = zonesUntil
 	}
 	for zone := range d.zonesKept {
-		d.zonesKept[zone] = d.outdatedUntil
+		d.zonesKept[zone] = zonesUntil
 	}
 	d.replace(changes, now)
 	d.updateView()
@@ -102,23 +82,6 @@
 	return k
 }
 
-// isOutdated reports whether an entry is to be held back because a later one of
-// the instance was known, or its removal.
-func (d *Directory) isOutdated(i *Instance, now time.Time) bool {
-	if !now.Before(d.outdatedUntil) {
-		return false
-	}
-	if r, removed := d.removed[i.ID]; removed {
-		order, ok := i.compare(&r.instance)
-		return ok && order <= 0
-	}
-	if known := d.instances[i.ID]; known != nil {
-		order, ok := i.compare(known)
-		return ok && order < 0
-	}
-	return false
-}
-
 // noteRewrite notes an entry that was written after the store came back.
 func (d *Directory) noteRewrite(c *Change, now time.Time) {
 	if c.Kind == InstanceSet && now.Before(d.rewrittenBy) && d.instances[c.Instance.ID] != nil {
@@ -132,43 +95,15 @@
 	return now.Before(d.rewrittenBy) && d.rewritten[id]
 }
 
-// recordRemoval notes that an instance was removed. If there are too many, it
-// drops the oldest removal.
-func (d *Directory) recordRemoval(i *Instance, now time.Time) {
-	if len(d.removed) >= maxRemovals {
-		oldest := ""
-		for id, r := range d.removed {
-			if oldest == "" || r.at.Before(d.removed[oldest].at) {
-				oldest = id
-			}
-		}
-		delete(d.removed, oldest)
-	}
-	d.removed[i.ID] = removal{*i, now}
-}
-
-// expireRestored ends what is kept or held back after a restore when its time is
-// over. It reports whether the view has changed.
-func (d *Directory) expireRestored(now time.Time) bool {
+// expireZones ends what zones are kept out after a restore when its time is over. It
+// reports whether the view has changed.
+func (d *Directory) expireZones(now time.Time) bool {
 	changed := false
-	for id, r := range d.removed {
-		if now.Sub(r.at) >= removalRetention {
-			delete(d.removed, id)
-		}
-	}
 	for zone, until := range d.zonesKept {
 		if !now.Before(until) {
 			delete(d.zonesKept, zone)
 			changed = true
 		}
 	}
-	if now.Before(d.outdatedUntil) || len(d.outdated) == 0 {
-		return changed
-	}
-	for id := range d.outdated {
-		i := d.outdated[id]
-		delete(d.outdated, id)
-		d.apply(&Change{Kind: InstanceSet, Instance: i}, now)
-	}
-	return true
+	return changed
 }
