ratelimit: a new lending node begins with an empty pool

Cause: every node filled a pool of each small limit from its start, though only the lending node's is used. A lending node that leaves has lent its pool; the next one lent a full one at once, and so on.

On TestNewLendingNodeBeginsWithAnEmptyPool failed: '1 (tokens int) != 0'.

Change: a pool fills only at the node that is the lending node by its own view. It is empty when that begins, after a start and after the node was cut off; a node that is not the lending node lends nothing. A node whose instance is no longer published, but that keeps it until the store confirms that, does not lend.

--- a/internal/sidecar/instances.go
+++ b/internal/sidecar/instances.go
@@ -20,9 +20,10 @@
 		n.logEndedUse(n.appliedView, v)
 		n.appliedView = v
 	}
-	if hosts := n.requestHosts.count(); v.Addresses != n.appliedAddresses || hosts != n.appliedHosts {
-		n.updateSources(v)
-		n.appliedAddresses, n.appliedHosts = v.Addresses, hosts
+	hosts, hidden := n.requestHosts.count(), n.verifyingRemoval.Load()
+	if v.Addresses != n.appliedAddresses || hosts != n.appliedHosts || hidden != n.appliedHidden {
+		n.updateSources(v, hidden)
+		n.appliedAddresses, n.appliedHosts, n.appliedHidden = v.Addresses, hosts, hidden
 	}
 	nodes := len(v.ByAddress)
 	n.rateLimiter.SetNodeCount(nodes)
@@ -46,8 +47,9 @@
 }
 
 // updateSources tells the source selector which nodes exist: those beside
-// instances and those that sent requests.
-func (n *Node) updateSources(v *fleet.View) {
+// instances and those that sent requests. hidden states that other nodes do not know the
+// local instance, see holdLocalRemoval: they ask another lending node.
+func (n *Node) updateSources(v *fleet.View, hidden bool) {
 	_, port, _ := net.SplitHostPort(n.settings().ControlAddress)
 	var all []relay.Member
 	for address, zone := range v.Addresses.Zones {
@@ -57,11 +59,14 @@
 	}
 	addresses := make([]string, 0, len(all))
 	for _, m := range all {
-		addresses = append(addresses, m.Address)
+		if !hidden || m.Address != n.accountLimits.selfAddress {
+			addresses = append(addresses, m.Address)
+		}
 	}
 	if old := n.accountLimits.nodeAddresses.Swap(&addresses); len(addresses) > 0 && (old == nil || len(*old) == 0) {
 		n.crashReports.RecordNodesKnown()
 	}
+	n.rateLimiter.UpdateLending()
 	for _, host := range n.requestHosts.list() {
 		all = append(all, relay.Member{Address: net.JoinHostPort(host, port)})
 	}
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -26,6 +26,10 @@
 	// tokenRetryDelay is how long a lending node that did not answer is not asked
 	// again.
 	tokenRetryDelay = 250 * time.Millisecond
+	// maxLenderAge is the age of the published state above which a lending node that hears
+	// of no other node gives up its pools: it may be cut off, and its instance's entry
+	// expire. It is shorter than the life of an entry.
+	maxLenderAge = 2500 * time.Millisecond
 )
 
 // An accountLimiter charges requests to their accounts: first to this node's own
@@ -37,6 +41,13 @@
 	selfAddress string
 	// nodeAddresses holds the control addresses of the nodes beside instances.
 	nodeAddresses atomic.Pointer[[]string]
+	// stateAge returns the time since the store confirmed the published nodes that this
+	// node knows. lastHeard is when another node last sent something to this one.
+	stateAge  func() time.Duration
+	lastHeard steadyTime
+	// cutOff is set while other nodes may have turned to another lending node without
+	// this one's knowledge.
+	cutOff atomic.Bool
 	// details holds, by account, why the last question to its lending node brought no
 	// token.
 	details sync.Map
@@ -50,6 +61,8 @@
 	detailShareSpent = "share spent"
 	// detailPoolEmpty: the pool has no token, now or when it was asked a moment ago.
 	detailPoolEmpty = "pool empty"
+	// detailCutOff: this node is the lending node, but cut off from all others.
+	detailCutOff = "cut off from other nodes"
 	// detailNoLender: the lending node does not answer, or did not a moment ago.
 	detailNoLender = "lending node does not answer"
 )
@@ -88,6 +101,9 @@
 func (l *accountLimiter) requestTokens(ctx context.Context, account string) (tokens int, wait time.Duration, detail string) {
 	to := l.lendingNode(account)
 	if to == "" || to == l.selfAddress {
+		if l.cutOff.Load() {
+			return 0, tokenRetryDelay, detailCutOff
+		}
 		tokens, wait = l.rateLimiter.Lend(account)
 		return tokens, wait, detailPoolEmpty
 	}
@@ -116,6 +132,24 @@
 	return timeout
 }
 
+// hear records that another node sent something to this one.
+func (l *accountLimiter) hear() {
+	l.reviewCutOff()
+	l.lastHeard.set(time.Now())
+	if l.cutOff.Load() {
+		l.reviewCutOff()
+	}
+}
+
+// reviewCutOff gives up the pools of this node while it may be cut off from the others.
+// When it is in touch again, its pools are empty: another node may have lent meanwhile.
+func (l *accountLimiter) reviewCutOff() {
+	cutOff := l.lastHeard.age(time.Now()) > maxLenderAge && l.stateAge() > maxLenderAge && len(l.nodes()) > 1
+	if l.cutOff.Swap(cutOff) != cutOff {
+		l.rateLimiter.UpdateLending()
+	}
+}
+
 // lendingNode returns the control address of the node that holds an account's pool.
 // If two nodes disagree for a moment, the account may exceed its limit by part of
 // the tolerated overage.
@@ -123,6 +157,16 @@
 	return hosts.HighestRanked(account, l.nodes())
 }
 
+// isLender reports whether this node holds an account's pool. It does as long as no nodes
+// are known.
+func (l *accountLimiter) isLender(account string) bool {
+	if l.cutOff.Load() {
+		return false
+	}
+	to := l.lendingNode(account)
+	return to == "" || to == l.selfAddress
+}
+
 // nodes returns the control addresses of the nodes beside instances, or nil if they
 // are not known yet.
 func (l *accountLimiter) nodes() []string {
@@ -134,6 +178,7 @@
 
 // serveTokens lends tokens of an account's pool to another node.
 func (l *accountLimiter) serveTokens(_ context.Context, q peer.TokensRequest) (peer.TokensReply, error) {
+	l.hear()
 	tokens, after := l.rateLimiter.Lend(q.Account)
 	return peer.TokensReply{Tokens: tokens, RetryAfterMs: after.Milliseconds()}, nil
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -117,11 +117,12 @@
 
 	// instancesMu serializes applyInstances. The chooser has the instances of
 	// appliedView, and the source selector those with appliedAddresses and appliedHosts
-	// request hosts.
+	// request hosts. appliedHidden states that the local instance is not published.
 	instancesMu      sync.Mutex
 	appliedView      *fleet.View
 	appliedAddresses *fleet.AddressSet
 	appliedHosts     int
+	appliedHidden    bool
 
 	// updateMu serializes the application of updates and the reading of the full
 	// state for replies.
@@ -291,7 +292,11 @@
 	n.chooser.EvenWithPaceOnly = true
 	n.retryBudget = balance.NewRetryBudget()
 	n.rateLimiter = ratelimit.New(ratelimit.Tolerance{OverageRatio: n.Bounds.QuotaOverage, SlackRequests: n.Bounds.QuotaSlack})
-	n.accountLimits = &accountLimiter{rateLimiter: n.rateLimiter, controlClient: n.controlClient, selfAddress: s.ControlAddress}
+	n.accountLimits = &accountLimiter{
+		rateLimiter: n.rateLimiter, controlClient: n.controlClient, selfAddress: s.ControlAddress,
+		stateAge: func() time.Duration { return n.updateLog.Status().Age },
+	}
+	n.rateLimiter.IsLender = n.accountLimits.isLender
 	n.admission = priorityadmission.New()
 	n.admission.WantConfirmation = n.checkHealthSoon
 	n.admission.SetClosed(priorityadmission.Starting)
@@ -401,6 +406,7 @@
 		case <-changed:
 		case <-t.C:
 			n.directory.Expire()
+			n.accountLimits.reviewCutOff()
 			n.crashes.Review(n.metrics.Scope())
 			reportUploads(n.uploads, n.metrics.Scope())
 			n.localBackend.load.measure(n.metrics.Scope())
--- a/internal/sidecar/noderequests.go
+++ b/internal/sidecar/noderequests.go
@@ -24,6 +24,8 @@
 	requestHosts *requestHosts
 	calls        *callGraph
 	uploads      *uploadReceiver
+	// onHeard is called for each request of another node.
+	onHeard func()
 	// maxBody returns the largest size of a body, zero for no limit. It may be nil.
 	maxBody func() int64
 }
@@ -36,6 +38,7 @@
 		return
 	}
 	s.requestHosts.add(in.RemoteAddr)
+	s.onHeard()
 	b := call.NewDuplexBody(w, in)
 	defer b.Release()
 	w = b.ResponseWriter()
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -80,6 +80,7 @@
 func (n *Node) serveUpdates(ctx context.Context, q peer.UpdatesRequest) (peer.UpdatesReply, error) {
 	asked := time.Now()
 	n.lastAsked.set(asked)
+	n.accountLimits.hear()
 	end := asked.Add(min(time.Duration(q.WaitMs)*time.Millisecond, maxRelayWait))
 	after := relay.Position{Era: n.updateLog.Status().Era, Revision: q.AfterRevision}
 	if q.AfterEra != nil {
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -63,6 +63,9 @@
 	// Unlike the time of day it does not jump.
 	SinceBoot func() time.Duration
 	Tolerance Tolerance
+	// IsLender reports whether this node is the lending node of an account. If it is nil,
+	// the node is that of all accounts. It must not call methods of the Limiter.
+	IsLender func(account string) bool
 
 	mu     sync.Mutex
 	limits map[string]Limit
@@ -75,6 +78,11 @@
 	// account's lending node. loans holds what this node has borrowed.
 	pools map[string]*Bucket
 	loans map[string]*loan
+	// lending holds, for each account with a pool, whether this node is its lending node.
+	lending map[string]bool
+	// poolFill is the fraction of a new pool that is filled. It is zero for the first
+	// limits after the start: what an earlier process of this node has lent is not known.
+	poolFill float64
 	// recentCounts holds the node counts of the last nodeCountMemory, newest
 	// last. nodeCount is their maximum.
 	recentCounts []countedNodes
@@ -103,15 +111,22 @@
 
 // New returns a Limiter without limits, for a fleet of one node.
 func New(t Tolerance) *Limiter {
-	return &Limiter{Now: time.Now, SinceBoot: sinceBoot, Tolerance: t, buckets: map[string]*Bucket{}, strictBuckets: map[string]*Bucket{}, pools: map[string]*Bucket{}, nodeCount: 1}
+	return &Limiter{Now: time.Now, SinceBoot: sinceBoot, Tolerance: t, buckets: map[string]*Bucket{}, strictBuckets: map[string]*Bucket{}, pools: map[string]*Bucket{}, lending: map[string]bool{}, nodeCount: 1}
 }
 
 // Configure replaces the limits of all accounts.
 func (l *Limiter) Configure(limits map[string]Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.limits == nil {
+		l.poolFill = 0
+	} else {
+		l.poolFill = initialFill
+	}
 	l.limits = limits
-	l.resizeBuckets(l.Now())
+	now := l.Now()
+	l.resizeBuckets(now)
+	l.updateLending(now)
 }
 
 // SetNodeCount records the number of nodes that take requests. An increase takes
@@ -164,18 +179,19 @@
 		if pooled > 0 {
 			minCapacity = 0
 		}
-		resize(l.buckets, name, nodeShare*rate, max(minCapacity, nodeShare*capacity), now)
-		resize(l.pools, name, pooled*rate, pooled*capacity, now)
+		resize(l.buckets, name, nodeShare*rate, max(minCapacity, nodeShare*capacity), initialFill, now)
+		resize(l.pools, name, pooled*rate, pooled*capacity, l.poolFill, now)
 		if pooled > 0 {
 			delete(l.strictBuckets, name)
 		} else {
-			resize(l.strictBuckets, name, nodeShare*limit.Rate, max(1, nodeShare*limit.Burst), now)
+			resize(l.strictBuckets, name, nodeShare*limit.Rate, max(1, nodeShare*limit.Burst), initialFill, now)
 		}
 	}
 }
 
-// resize sets a bucket's rate and capacity; it creates the bucket if needed.
-func resize(byAccount map[string]*Bucket, name string, rate, capacity float64, now time.Time) {
+// resize sets a bucket's rate and capacity. If there is none, it creates one that is
+// filled to the given fraction.
+func resize(byAccount map[string]*Bucket, name string, rate, capacity, fill float64, now time.Time) {
 	b := byAccount[name]
 	created := b == nil
 	if created {
@@ -185,7 +201,7 @@
 	b.refill(now)
 	b.Rate, b.Capacity = rate, capacity
 	if created {
-		b.Tokens = initialFill * capacity
+		b.Tokens = fill * capacity
 	}
 	b.Tokens = min(b.Tokens, capacity)
 }
--- a/pkg/ratelimit/pool.go
+++ b/pkg/ratelimit/pool.go
@@ -12,8 +12,8 @@
 	// its limit.
 	minRatePerNode = 5.0
 	// pooledOverageShare is the share of the tolerated overage that is used for
-	// accounts with a pool. It is smaller than usedOverageShare because two
-	// nodes may act as the lending node for a moment.
+	// accounts with a pool. It is smaller than usedOverageShare because the lending
+	// node may change, and two nodes may then lend for a moment.
 	pooledOverageShare = 0.4
 	// maxLoanTokens bounds the tokens of one loan.
 	maxLoanTokens = 4
@@ -25,6 +25,10 @@
 	maxSuspension = 100 * time.Millisecond
 )
 
+// notLenderDelay is how long a node that is not the lending node of an account is not asked
+// again. Nodes learn of a new lending node within a few tenths of a second.
+const notLenderDelay = 100 * time.Millisecond
+
 // pooledShare returns the share of an account's limit that its lending node
 // holds for all nodes. The rest is divided equally among the nodes.
 func pooledShare(l Limit, nodes int) float64 {
@@ -68,9 +72,38 @@
 	return o == nil || !l.Now().Before(o.poolEmptyUntil)
 }
 
-// Lend takes tokens from an account's pool for another node. It is called on the
-// account's lending node. Without tokens it returns the time after which there
-// will be one.
+// UpdateLending is to be called when IsLender may give another result than before. A node
+// that becomes the lending node of an account begins with an empty pool, which fills at
+// its rate from then on: the one before has lent tokens that are still spent. Nobody has
+// lent tokens of a limit that is new.
+func (l *Limiter) UpdateLending() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateLending(l.Now())
+}
+
+func (l *Limiter) updateLending(now time.Time) {
+	if l.IsLender == nil {
+		return
+	}
+	for name, pool := range l.pools {
+		lends := l.IsLender(name)
+		before, known := l.lending[name]
+		if known && lends != before {
+			pool.Tokens, pool.filledAt = 0, now
+		}
+		l.lending[name] = lends
+	}
+	for name := range l.lending {
+		if l.pools[name] == nil {
+			delete(l.lending, name)
+		}
+	}
+}
+
+// Lend takes tokens from an account's pool for another node, or for this one. Without
+// tokens it returns the time after which there may be one, as it does on a node that is
+// not the account's lending node.
 func (l *Limiter) Lend(account string) (tokens int, retryAfter time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -78,6 +111,9 @@
 	if b == nil {
 		return 0, loanDuration
 	}
+	if l.IsLender != nil && !l.lending[account] {
+		return 0, notLenderDelay
+	}
 	b.refill(l.Now())
 	// Tokens that the borrower does not spend within loanDuration are lost.
 	expectedUse := 1 + math.Floor(l.limits[account].Rate/float64(l.nodeCount)*loanDuration.Seconds())
