sidecar: count nodes whose instances are lost in the limits of accounts

Cause: nodes divided limits by the number of published instances. The nodes beside the lost ones still take requests and spent their former parts, so those were spent twice.

Change: a node that sends requests here counts for 3 s, and each node counts itself.

TestNodesWithoutInstancesCount fails to build before, as nothing counted them.

--- a/internal/sidecar/instances.go
+++ b/internal/sidecar/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"quetzaldock.example/quetzaldock/pkg/balance"
 	"quetzaldock.example/quetzaldock/pkg/fleet"
@@ -25,7 +26,7 @@
 		n.updateSources(v, hidden)
 		n.appliedAddresses, n.appliedHosts, n.appliedHidden = v.Addresses, hosts, hidden
 	}
-	nodes := len(v.ByAddress)
+	nodes := n.countNodes()
 	n.rateLimiter.SetNodeCount(nodes)
 	n.configureRetryBudget(nodes)
 	if i := v.ByAddress[n.settings().BackendAddress]; i != nil {
@@ -34,6 +35,23 @@
 	n.updateAdmission()
 }
 
+// countNodes returns the number of nodes that take requests of callers, as far as this
+// node knows: those beside published instances, this one, and those that send requests
+// here although their instance is lost. The caller holds instancesMu.
+func (n *Node) countNodes() int {
+	nodes := len(n.publishedHosts) + n.requestHosts.countOthers(n.publishedHosts, time.Now())
+	if !n.publishedHosts[hostOf(n.settings().ControlAddress)] {
+		nodes++
+	}
+	return nodes
+}
+
+// hostOf returns the host of an address.
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
 // logEndedUse reports the instances that get no new requests any more.
 func (n *Node) logEndedUse(before, now *fleet.View) {
 	if before == nil {
@@ -57,8 +75,10 @@
 			all = append(all, relay.Member{Address: net.JoinHostPort(host, port), Zone: zone})
 		}
 	}
+	n.publishedHosts = map[string]bool{}
 	addresses := make([]string, 0, len(all))
 	for _, m := range all {
+		n.publishedHosts[hostOf(m.Address)] = true
 		if !hidden || m.Address != n.accountLimits.selfAddress {
 			addresses = append(addresses, m.Address)
 		}
--- a/internal/sidecar/lending_test.go
+++ b/internal/sidecar/lending_test.go
@@ -84,3 +84,21 @@
 	tokens, _, _ = l.requestTokens(t.Context(), "club")
 	assert.Equal(t, tokens, 0, "the pool fills anew")
 }
+
+// Guards against nodes that go on to take requests after their instances were lost, while
+// the others divide the limits of accounts among fewer nodes.
+func TestNodesWithoutInstancesCount(t *testing.T) {
+	var h requestHosts
+	published := map[string]bool{"10.0.0.1": true}
+	now := time.Unix(1000, 0)
+	h.add("10.0.0.1:4000", now)
+	h.add("10.0.0.2:4000", now)
+	h.add("10.0.0.3:4000", now.Add(-hostMemory))
+	h.add("no address", now)
+	assert.Equal(t, h.countOthers(published, now), 1)
+	assert.Equal(t, h.countOthers(published, now.Add(hostMemory)), 0)
+	for range 3 {
+		h.add("10.0.0.2:4000", now.Add(hostMemory))
+	}
+	assert.Equal(t, h.countOthers(published, now.Add(hostMemory)), 1)
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,6 +123,8 @@
 	appliedAddresses *fleet.AddressSet
 	appliedHosts     int
 	appliedHidden    bool
+	// publishedHosts holds the hosts of appliedAddresses.
+	publishedHosts map[string]bool
 
 	// updateMu serializes the application of updates and the reading of the full
 	// state for replies.
--- a/internal/sidecar/noderequests.go
+++ b/internal/sidecar/noderequests.go
@@ -37,7 +37,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	s.requestHosts.add(in.RemoteAddr)
+	s.requestHosts.add(in.RemoteAddr, s.now())
 	s.onHeard()
 	b := call.NewDuplexBody(w, in)
 	defer b.Release()
--- a/internal/sidecar/requesthosts.go
+++ b/internal/sidecar/requesthosts.go
@@ -3,10 +3,16 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
-// maxRequestHosts limits the hosts that are remembered.
-const maxRequestHosts = 16
+const (
+	// maxRequestHosts limits the hosts that are remembered for good.
+	maxRequestHosts = 16
+	// maxRecentHosts limits those that are remembered for hostMemory after a request.
+	maxRecentHosts = 4096
+	hostMemory     = 3 * time.Second
+)
 
 // requestHosts remembers the hosts of nodes that sent requests, as further sources
 // of published state. A node that the store rejects right after its start knows
@@ -14,10 +20,12 @@
 type requestHosts struct {
 	mu  sync.Mutex
 	all map[string]bool
+	// lastRequest holds when each host sent its latest request.
+	lastRequest map[string]time.Time
 }
 
-// add remembers the host of a remote address.
-func (h *requestHosts) add(remote string) {
+// add remembers the host of a remote address, which sent a request at the given time.
+func (h *requestHosts) add(remote string, now time.Time) {
 	host, _, err := net.SplitHostPort(remote)
 	if err != nil {
 		return
@@ -25,11 +33,31 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.all == nil {
-		h.all = map[string]bool{}
+		h.all, h.lastRequest = map[string]bool{}, map[string]time.Time{}
 	}
 	if len(h.all) < maxRequestHosts {
 		h.all[host] = true
 	}
+	if _, known := h.lastRequest[host]; known || len(h.lastRequest) < maxRecentHosts {
+		h.lastRequest[host] = now
+	}
+}
+
+// countOthers returns the number of hosts that sent requests in the last hostMemory and
+// are not published. It forgets older ones.
+func (h *requestHosts) countOthers(published map[string]bool, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	others := 0
+	for host, at := range h.lastRequest {
+		switch {
+		case now.Sub(at) >= hostMemory:
+			delete(h.lastRequest, host)
+		case !published[host]:
+			others++
+		}
+	}
+	return others
 }
 
 // count returns the number of remembered hosts. Hosts are never forgotten.
