sidecar: read changes of instances beside a large answer of the store

Cause: the store answers a watch with a configuration as soon as that is written, and the changes of instances after it wait until it has arrived, at the reader (1.31 s here) and at each hop. The node beside the instance then asked the store whether its removal is true by a listing of everything (1.1 s), and ran requests of other nodes until it had the answer. Nodes whose read took 2 s took that for an outage and kept removed entries 2 s more.

Change: while an answer of the store is arriving, the changes of instances are read beside it, applied and passed on; they come again in their order, and revisions tell that. The removal of the local instance is confirmed from the entries of instances alone, and until then requests of other nodes are refused unsent.

Why it works: what says that an instance leaves is a few hundred bytes, and no longer waits for a megabyte at any hop. A node that reads it knows that the store is not down.

--- a/internal/peer/updates.go
+++ b/internal/peer/updates.go
@@ -23,6 +23,12 @@
 	// Reader is the control address of the asking node. It is empty in requests of
 	// nodes of earlier builds.
 	Reader string `cbor:"5,keyasint,omitempty"`
+	// InstancesRevision is the revision up to which the asking node has the changes of
+	// instances, if that is above AfterRevision.
+	InstancesRevision uint64 `cbor:"6,keyasint,omitempty"`
+	// TakesInstances states that the asking node takes UpdatesReply.Instances. Nodes of
+	// earlier builds would ask again at once.
+	TakesInstances bool `cbor:"7,keyasint,omitempty"`
 }
 
 // An UpdatesReply holds updates in the order in which they were published.
@@ -50,4 +56,10 @@
 	// Receiving states that an answer of the store is arriving at the node, or at the one
 	// that it reads. Nodes of earlier builds ignore it.
 	Receiving bool `cbor:"9,keyasint,omitempty"`
+	// Instances, if not empty, are changes of instances that were read ahead of other
+	// updates, encoded as these, up to InstancesRevision. The store confirmed that
+	// InstancesAgeMs before the reply. Nodes of earlier builds ignore them.
+	Instances         []byte `cbor:"10,keyasint,omitempty"`
+	InstancesRevision uint64 `cbor:"11,keyasint,omitempty"`
+	InstancesAgeMs    int64  `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -38,7 +38,7 @@
 func (n *Node) listen() (*servers, error) {
 	s := n.settings()
 	bound := &servers{}
-	nodeRequestHandler := &nodeRequestHandler{names: &n.HeaderNames, localBackend: n.localBackend, now: time.Now, requestHosts: &n.requestHosts, onHeard: n.accountLimits.hear, calls: &n.calls, uploads: n.newUploadReceiver()}
+	nodeRequestHandler := &nodeRequestHandler{names: &n.HeaderNames, localBackend: n.localBackend, now: time.Now, requestHosts: &n.requestHosts, onHeard: n.accountLimits.hear, hidden: n.verifyingRemoval.Load, calls: &n.calls, uploads: n.newUploadReceiver()}
 	l := n.clientLimits
 	nodeRequestHandler.maxBody = l.maxNodeBody
 	for _, spec := range []struct {
--- a/internal/sidecar/localinstance.go
+++ b/internal/sidecar/localinstance.go
@@ -54,9 +54,13 @@
 // another era than what is applied.
 func (n *Node) verifyLocalRemoval(ctx context.Context, local fleet.Instance) {
 	defer n.verifyingRemoval.Store(false)
+	list := n.Source.ListInstances
+	if list == nil {
+		list = n.Source.List
+	}
 	for {
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		u, err := n.Source.List(listCtx)
+		u, err := list(listCtx)
 		cancel()
 		if err == nil && n.isAppliedEra(u) && (lists(u, &local) || !n.directory.AwaitsRewrites()) {
 			n.applyVerifiedRemoval(u, &local)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -148,6 +148,8 @@
 	// that this one reads is receiving an answer of the store.
 	storeProgress  readProgress
 	sourceReceives atomic.Bool
+	// instancesAhead holds the changes of instances that were read ahead.
+	instancesAhead instancesAhead
 	// stateOrigin is the control address of the node that read the current state from
 	// the store, this one included.
 	stateOrigin atomic.Pointer[string]
--- a/internal/sidecar/noderequests.go
+++ b/internal/sidecar/noderequests.go
@@ -24,6 +24,8 @@
 	requestHosts *requestHosts
 	calls        *callGraph
 	uploads      *uploadReceiver
+	// hidden reports whether other nodes should not know the local instance any more.
+	hidden func() bool
 	// onHeard is called for each request of another node.
 	onHeard func()
 	// maxBody returns the largest size of a body, zero for no limit. It may be nil.
@@ -43,6 +45,9 @@
 	defer b.Release()
 	w = b.ResponseWriter()
 	r, err := parseNodeRequest(in, s.names, s.now())
+	if err == nil && s.hidden() {
+		err = &priorityadmission.Refusal{Reason: priorityadmission.Draining}
+	}
 	if err == nil && !http1.Reserve(in.Context(), call.BodyMemory(in)) {
 		err = &call.NotRun{Reason: reasonMemory}
 	}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -108,6 +108,9 @@
 			// The store has confirmed the position since.
 			return out, nil
 		}
+		if a := &n.instancesAhead; q.TakesInstances && a.addTo(&out, after.Era, max(q.AfterRevision, q.InstancesRevision)) {
+			return out, nil
+		}
 		// The reader must learn at once that this node has lost the store.
 		left := min(time.Until(end), n.maxAge()-status.Age)
 		if left <= 0 {
@@ -211,7 +214,7 @@
 func (n *Node) nodeSource(address string) Source {
 	read := func(ctx context.Context, q peer.UpdatesRequest) (*Update, error) {
 		asked := time.Now()
-		q.Reader = n.settings().ControlAddress
+		q.Reader, q.TakesInstances, q.InstancesRevision = n.settings().ControlAddress, true, n.instancesAhead.latest()
 		r, err := n.controlClient.Updates(ctx, hosts.Host{ID: address, ControlAddress: address}, q)
 		if err != nil {
 			return nil, err
@@ -219,6 +222,11 @@
 		if r.Origin == q.Reader {
 			return nil, ErrStale.New("node %s has its state from this node", address)
 		}
+		if len(r.Instances) > 0 {
+			if err := n.takeInstancesAhead(ctx, &r, asked); err != nil {
+				return nil, err
+			}
+		}
 		age, maxAge := time.Duration(r.ConfirmedAgeMs)*time.Millisecond, maxRelayAge
 		if r.Receiving {
 			maxAge += receivingAge
--- a/internal/sidecar/source.go
+++ b/internal/sidecar/source.go
@@ -23,6 +23,10 @@
 	// update's Era is another one than the position's, its changes do not follow
 	// on from the position.
 	Watch func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error)
+	// ListInstances and WatchInstances do the same for the entries of instances alone.
+	// If they are nil, these are not read by themselves.
+	ListInstances  func(ctx context.Context) (*Update, error)
+	WatchInstances func(ctx context.Context, after relay.Position, wait time.Duration) (*Update, error)
 }
 
 var (
@@ -65,6 +69,14 @@
 	askedAt, readAt time.Time
 }
 
+// forThisNode returns the changes that this node applies.
+func (u *Update) forThisNode() []fleet.Change {
+	if u.localChanges != nil {
+		return u.localChanges
+	}
+	return u.Changes
+}
+
 func (u *Update) position() relay.Position { return relay.Position{Era: u.Era, Revision: u.Revision} }
 
 // A PublishedConfig is one configuration as operators published it.
@@ -139,6 +151,9 @@
 		if err == nil {
 			err = checkOrder(u, position)
 		}
+		if err == nil {
+			err = n.instancesAhead.checkFull(u)
+		}
 		switch {
 		case err == nil:
 			n.recordSourceSuccess(from)
@@ -146,6 +161,7 @@
 				n.holdLocalRemoval(ctx, u)
 			}
 			n.applyUpdate(u)
+			n.instancesAhead.trim(u.position())
 			n.recordPosition(u)
 			// The first state of an era may be that of a copy. Without eras the store
 			// never comes back from one.
@@ -228,6 +244,9 @@
 	case known && from == relay.StoreSource:
 		sourceCtx, cancel := n.storeProgress.withProgress(ctx, wait+grace, grace, wait+maxWatchTime)
 		defer cancel()
+		if s.WatchInstances != nil {
+			go n.readInstancesAhead(sourceCtx, after)
+		}
 		u, err = s.Watch(sourceCtx, after, wait)
 	case known:
 		sourceCtx, cancel := context.WithTimeout(ctx, wait+grace)
--- a/internal/sidecar/unread_body_test.go
+++ b/internal/sidecar/unread_body_test.go
@@ -53,7 +53,7 @@
 	}{
 		{n.callerHandler, http.StatusUnauthorized},
 		{&nodeRequestHandler{
-			names: &n.HeaderNames, localBackend: n.localBackend, now: time.Now, requestHosts: &n.requestHosts, onHeard: func() {}, calls: &n.calls,
+			names: &n.HeaderNames, localBackend: n.localBackend, now: time.Now, requestHosts: &n.requestHosts, onHeard: func() {}, hidden: func() bool { return false }, calls: &n.calls,
 		}, http.StatusServiceUnavailable},
 	} {
 		states := make(chan http.ConnState, 8)
--- a/internal/sidecar/update.go
+++ b/internal/sidecar/update.go
@@ -25,10 +25,7 @@
 	defer n.updateMu.Unlock()
 	n.directory.Confirm(u.ConfirmedAt)
 	n.stateOrigin.Store(&u.Origin)
-	changes := u.Changes
-	if u.localChanges != nil {
-		changes = u.localChanges
-	}
+	changes := u.forThisNode()
 	switch {
 	case n.isRestored(u):
 		n.directory.Restore(changes)
--- a/pkg/relay/log.go
+++ b/pkg/relay/log.go
@@ -103,6 +103,13 @@
 	return true
 }
 
+// Wake closes Status.Changed although the log has not changed.
+func (l *Log) Wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notifyReaders()
+}
+
 func (l *Log) notifyReaders() {
 	close(l.changed)
 	l.changed = make(chan struct{})
