sidecar: a failing test of the local removal ends

The stand-in of the store waited for a signal that a failure before it never sent, so the test hung. With the refusal switched off (trial on a copy) it now fails with '1 (int) != 0 (int): requests of another node'; TestInstancesThatLeaveDoNotWaitForAConfiguration without the reads ahead fails with 'no drain and removal at i-0'.

--- a/internal/sidecar/instancesahead_test.go
+++ b/internal/sidecar/instancesahead_test.go
@@ -99,10 +99,14 @@
 	beside := m.nodes[1]
 	var asked atomic.Int64
 	confirm := make(chan struct{})
-	beside.Source.ListInstances = func(context.Context) (*Update, error) {
+	beside.Source.ListInstances = func(ctx context.Context) (*Update, error) {
 		asked.Add(1)
-		<-confirm
-		return &Update{}, nil
+		select {
+		case <-confirm:
+			return &Update{}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	u := &Update{Changes: []fleet.Change{{Kind: fleet.InstanceRemoved, ID: "i-1"}}}
 	beside.holdLocalRemoval(t.Context(), u)
